--- /dev/null
+++ b/libs/base/include/base/ids.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace banyancroft {
+
+/**
+ * A named identifier that does not convert to identifiers of another kind.
+ *
+ *     UpstreamId upstream { "desk-03-b" };
+ *     std::string_view text = upstream.view();
+ */
+template <typename Tag> class StringId {
+public:
+    StringId() = default;
+    explicit StringId(std::string value)
+        : value_(std::move(value))
+    {
+    }
+
+    std::string_view view() const { return value_; }
+    const std::string& str() const { return value_; }
+    bool empty() const { return value_.empty(); }
+
+    auto operator<=>(const StringId&) const = default;
+
+    friend std::ostream& operator<<(std::ostream& out, const StringId& id) { return out << id.value_; }
+
+private:
+    std::string value_;
+};
+
+/** A counter that does not convert to counters of another kind. Zero means "none". */
+template <typename Tag> struct NumberId {
+    std::uint64_t value = 0;
+
+    auto operator<=>(const NumberId&) const = default;
+    explicit operator bool() const { return value != 0; }
+
+    friend std::ostream& operator<<(std::ostream& out, const NumberId& id) { return out << id.value; }
+};
+
+using VmId = StringId<struct VmTag>;
+using AvailabilityZone = StringId<struct AvailabilityZoneTag>;
+using RegionId = StringId<struct RegionTag>;
+using ServiceId = StringId<struct ServiceTag>;
+using GroupId = StringId<struct GroupTag>;
+using ShardId = StringId<struct ShardTag>;
+/** One upstream process, that is one replica of a shard group. */
+using UpstreamId = StringId<struct UpstreamTag>;
+using IdempotencyKey = StringId<struct IdempotencyKeyTag>;
+
+/** One run of a daemon on a VM: chosen at random at start, so that a restarted daemon is a new member. */
+using Incarnation = NumberId<struct IncarnationTag>;
+/** Number of an availability zone's membership view; rises by one with each change. */
+using ViewNumber = NumberId<struct ViewNumberTag>;
+using ConfigVersion = NumberId<struct ConfigVersionTag>;
+/** Version of the assignment of shards to groups. */
+using LayoutVersion = NumberId<struct LayoutVersionTag>;
+/** Version of the index contents; one answer reflects exactly one. */
+using IndexVersion = NumberId<struct IndexVersionTag>;
+
+} // namespace banyancroft
+
+template <typename Tag> struct std::hash<banyancroft::StringId<Tag>> {
+    std::size_t operator()(const banyancroft::StringId<Tag>& id) const noexcept
+    {
+        return std::hash<std::string_view> {}(id.view());
+    }
+};
+
+template <typename Tag> struct std::hash<banyancroft::NumberId<Tag>> {
+    std::size_t operator()(const banyancroft::NumberId<Tag>& id) const noexcept
+    {
+        return std::hash<std::uint64_t> {}(id.value);
+    }
+};
--- /dev/null
+++ b/libs/base/src/time.cpp
@@ -0,0 +1,22 @@
+#include "base/time.h"
+
+#include <algorithm>
+#include <ctime>
+
+namespace banyancroft {
+
+BootClock::time_point BootClock::now() noexcept
+{
+    timespec value {};
+    clock_gettime(CLOCK_BOOTTIME, &value);
+    return time_point(std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec));
+}
+
+std::int64_t toMicros(Duration duration)
+{
+    return std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+}
+
+double toMillis(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
+
+} // namespace banyancroft
--- /dev/null
+++ b/libs/home/include/home/home.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "config/document.h"
+#include "wire/messages.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace banyancroft::home {
+
+/** How much of an upstream's limit this daemon may use at this moment. */
+enum class Share : std::uint8_t {
+    /** Not the home, or no authority: send nothing. */
+    None,
+    /** Neither lease nor promises: floor(limit/2) while warm, nothing while cold. */
+    UncertainHalf,
+    /** Took over from a home not known to have stopped: limit - floor(limit/2); the cold limit while cold. */
+    TakeoverRest,
+    Full,
+};
+
+struct Authority {
+    Share share = Share::None;
+    /** The authority ends by itself at this time; checked before each send. */
+    TimePoint validUntil {};
+    /** Requests that the previous home still had in flight, counted against the limit until `inheritedUntil`.
+     */
+    unsigned inheritedInFlight = 0;
+    TimePoint inheritedUntil {};
+};
+
+/** An upstream that this home may have to drive, with all that its decisions need. */
+struct Target {
+    config::Upstream upstream;
+    ServiceId service;
+    unsigned slots = 1;
+    unsigned connections = 1;
+    unsigned coldLimit = 1;
+    bool zoneServing = true;
+    Authority authority;
+};
+
+/** State of one upstream, for status and metrics. */
+struct TargetStatus {
+    UpstreamId upstream;
+    bool cold = true;
+    unsigned limit = 0;
+    unsigned running = 0;
+    unsigned queued = 0;
+    unsigned connections = 0;
+    std::vector<IndexVersion> servedIndexes;
+};
+
+struct Counters {
+    std::uint64_t accepted = 0;
+    std::uint64_t sent = 0;
+    std::uint64_t done = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t coldStarts = 0;
+    std::uint64_t malformedReplies = 0;
+};
+
+/**
+ * Holds the connections to the upstreams of one traffic thread and admits work to them.
+ *
+ *     home::Home home(ioContext);
+ *     home.apply(document.policy, targets);
+ *     home.search(batch, origin, now, [](wire::SubreplyBatch reply) { … });
+ *
+ * Owned by a traffic thread and called only on it; callbacks run on it too. Each item of a batch gets
+ * exactly one SubreplyItem through the callback unless it was cancelled; replies that become ready
+ * together may share one SubreplyBatch.
+ */
+class Home {
+public:
+    /** Names the entry that a query belongs to, so that query numbers of two entries never mix. */
+    using Origin = std::uint64_t;
+    using ReplyHandler = std::function<void(wire::SubreplyBatch)>;
+
+    explicit Home(boost::asio::io_context& ioContext);
+    ~Home();
+    Home(const Home&) = delete;
+    Home& operator=(const Home&) = delete;
+
+    /** Replaces policy and targets. Targets that are gone stop accepting; their work in flight ends normally.
+     */
+    void apply(const config::Policy& policy, std::span<const Target> targets);
+    /** Replaces the authority of one upstream; cheap, called on each renewal. */
+    void setAuthority(const UpstreamId& upstream, const Authority& authority);
+
+    void search(wire::SubrequestBatch batch, Origin origin, TimePoint now, ReplyHandler onReply);
+    void submit(wire::SubmitRequest request, Origin origin, TimePoint now, ReplyHandler onReply);
+    void cancel(const wire::Cancel& cancel, Origin origin, TimePoint now);
+
+    /** Requests sent to the upstream and not yet answered; reported at a hand-over. */
+    unsigned inFlight(const UpstreamId& upstream) const;
+    unsigned inFlight() const;
+    std::vector<TargetStatus> status() const;
+    Counters counters() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace banyancroft::home
