Add the search library with a first working SearchCoordinator

The entry's traffic thread needs decisions for a search without I/O: which upstream to ask, when to hedge or retry, which versions to accept and when to answer.

--- /dev/null
+++ b/libs/search/include/search/share_budget.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+namespace banyancroft::search {
+
+/**
+ * Limits additional sub-requests (hedges, retries) to a share of the ordinary ones. What was spent never
+ * exceeds share × ordinary + burst.
+ *
+ *     budget.earn(350);
+ *     if (budget.take())
+ *         sendHedge();
+ *
+ * Owned by one traffic thread; not thread-safe.
+ */
+class ShareBudget {
+public:
+    /** @param burst units that may be spent ahead of what was earned, also at start */
+    ShareBudget(double percent, double burst)
+        : share_(percent / 100)
+        , burst_(burst)
+        , available_(burst)
+    {
+    }
+
+    void setPercent(double percent)
+    {
+        share_ = percent / 100;
+        // A share of zero turns the mechanism off at once, whatever burst is left.
+        available_ = share_ > 0 ? available_ : 0;
+    }
+
+    /** Counts ordinary sub-requests. */
+    void earn(std::uint64_t subrequests)
+    {
+        const double earned = share_ * static_cast<double>(subrequests);
+        // One large query may spend all that it earned itself.
+        available_ = std::min(burst_ + earned, available_ + earned);
+    }
+
+    /** Spends `count` units; false, with nothing spent, when the budget has less. */
+    bool take(std::uint64_t count = 1)
+    {
+        if (available_ < static_cast<double>(count)) {
+            ++denied_;
+            return false;
+        }
+        available_ -= static_cast<double>(count);
+        spent_ += count;
+        return true;
+    }
+
+    std::uint64_t spent() const { return spent_; }
+    std::uint64_t denied() const { return denied_; }
+
+private:
+    double share_;
+    double burst_;
+    double available_;
+    std::uint64_t spent_ = 0;
+    std::uint64_t denied_ = 0;
+};
+
+} // namespace banyancroft::search
--- /dev/null
+++ b/libs/search/src/answer.cpp
@@ -0,0 +1,103 @@
+#include "search/search_coordinator.h"
+
+#include <algorithm>
+
+namespace banyancroft::search {
+
+namespace {
+
+/** Bytes of the first `limit` rows of newline-delimited text; `count` is lowered to the rows there are. */
+std::size_t prefixOfRows(std::string_view text, std::uint64_t& count)
+{
+    std::uint64_t rows = 0;
+    std::size_t end = 0;
+    while (end < text.size() && rows < count) {
+        const auto newline = text.find('\n', end);
+        end = newline == std::string_view::npos ? text.size() : newline + 1;
+        ++rows;
+    }
+    count = rows;
+    return end;
+}
+
+} // namespace
+
+Answer SearchCoordinator::answer()
+{
+    Answer answer;
+    answer.counters = counters_;
+    explainInto(answer.explain);
+    if (!known_) {
+        answer.refusal = Reason::NoCandidate;
+        return answer;
+    }
+    // Rows of the two attempts are at different versions, so the answer takes one attempt as a whole.
+    if (earlier_ && earlier_->coveredShards() > Attempt::coveredShards(plan_, groups_)) {
+        plan_ = std::move(earlier_->plan);
+        groups_ = std::move(earlier_->groups);
+        rows_ = std::move(earlier_->rows);
+    }
+    answer.snapshot = plan_.snapshot;
+    answer.topology = plan_.topology;
+    Reason firstLacking = Reason::None;
+    for (std::uint32_t place = 0; place < groups_.size(); ++place) {
+        const auto& group = groups_[place];
+        const auto& declared = topologyGroup(place);
+        const auto reason = group.phase == GroupPhase::Answered ? Reason::None : group.reason;
+        if (firstLacking == Reason::None || firstLacking == Reason::Cancelled)
+            firstLacking = reason;
+        for (const auto& shard : declared.shards)
+            answer.coverage.push_back({ shard.view(), declared.id.view(), reason });
+        if (reason == Reason::None)
+            answer.coveredShards += static_cast<std::uint32_t>(declared.shards.size());
+    }
+    answer.complete = firstLacking == Reason::None;
+    if (request_.requireAll && !answer.complete) {
+        answer.refusal = firstLacking;
+        return answer;
+    }
+    const auto limit = request_.limit == 0 ? ~std::uint64_t { 0 } : request_.limit;
+    for (std::uint32_t place = 0; place < groups_.size() && answer.rowCount < limit; ++place) {
+        auto& rows = rows_[place];
+        if (groups_[place].phase != GroupPhase::Answered || rows.empty())
+            continue;
+        auto count = limit - answer.rowCount;
+        rows.resize(prefixOfRows(rows, count));
+        answer.rowCount += count;
+        answer.rows.push_back(std::move(rows));
+    }
+    return answer;
+}
+
+void SearchCoordinator::explainInto(std::vector<ExplainItem>& items) const
+{
+    items.reserve(subrequests_.size());
+    for (const auto& subrequest : subrequests_) {
+        auto& item = items.emplace_back();
+        item.sequence = { subrequest.sequence };
+        item.upstream = cluster_.upstreamId(subrequest.upstream).view();
+        item.kind = subrequest.kind;
+        item.attempt = subrequest.attempt;
+        item.sentAfter = subrequest.sentAt - startedAt_;
+        item.elapsed = subrequest.endedAt - subrequest.sentAt;
+        if (subrequest.phase == SubrequestPhase::Replied)
+            item.outcome = subrequest.outcome;
+        item.reason = subrequest.reason;
+        item.asked = subrequest.asked;
+        item.answered = subrequest.answered;
+    }
+}
+
+std::uint32_t SearchCoordinator::Attempt::coveredShards(
+    const SnapshotChoice& plan, std::span<const Group> groups)
+{
+    const auto& places = plan.topology->collections[plan.collection].groups;
+    std::uint32_t shards = 0;
+    for (std::size_t place = 0; place < groups.size(); ++place) {
+        if (groups[place].phase == GroupPhase::Answered)
+            shards += static_cast<std::uint32_t>(plan.topology->groups[places[place]].shards.size());
+    }
+    return shards;
+}
+
+} // namespace banyancroft::search
--- /dev/null
+++ b/libs/search/src/hedge_policy.cpp
@@ -0,0 +1,82 @@
+#include "search/policy_state.h"
+
+#include <boost/histogram.hpp>
+
+#include <algorithm>
+
+namespace banyancroft::search {
+
+namespace {
+
+namespace bh = boost::histogram;
+
+// Buckets from 10 µs to 10 s, each about 11 % wide: finer than the wait before a hedge needs to be.
+constexpr unsigned bucketCount = 128;
+constexpr double lowestMicros = 10;
+constexpr double highestMicros = 1e7;
+
+// All weights are halved after this many samples, so the quantile reflects roughly the last 4,000.
+constexpr std::uint64_t samplesPerHalving = 2048;
+// The quantile is computed once per this many samples; reading it in between costs nothing.
+constexpr std::uint64_t samplesPerRefresh = 64;
+// With fewer samples the 95th percentile rests on one or two values.
+constexpr std::uint64_t leastSamples = 32;
+
+using Axis = bh::axis::regular<double, bh::axis::transform::log>;
+using Weights = bh::dense_storage<double>;
+
+} // namespace
+
+struct HedgePolicy::Histogram {
+    decltype(bh::make_histogram_with(Weights(), std::declval<Axis>())) value
+        = bh::make_histogram_with(Weights(), Axis(bucketCount, lowestMicros, highestMicros));
+};
+
+HedgePolicy::HedgePolicy()
+    : histogram_(std::make_unique<Histogram>())
+{
+}
+
+HedgePolicy::~HedgePolicy() = default;
+HedgePolicy::HedgePolicy(HedgePolicy&&) noexcept = default;
+HedgePolicy& HedgePolicy::operator=(HedgePolicy&&) noexcept = default;
+
+void HedgePolicy::observe(Duration latency)
+{
+    const auto micros = std::chrono::duration<double, std::micro>(latency).count();
+    histogram_->value(std::clamp(micros, lowestMicros, highestMicros * 0.999));
+    ++samples_;
+    if (samples_ % samplesPerHalving == 0)
+        histogram_->value *= 0.5;
+    if (samples_ == leastSamples || samples_ % samplesPerRefresh == 0)
+        refresh();
+}
+
+void HedgePolicy::setQuantile(double quantile)
+{
+    if (quantile == quantile_)
+        return;
+    quantile_ = quantile;
+    refresh();
+}
+
+Duration HedgePolicy::delay(Duration fallback) const { return samples_ < leastSamples ? fallback : delay_; }
+
+void HedgePolicy::refresh()
+{
+    double total = 0;
+    for (unsigned i = 0; i < bucketCount; ++i)
+        total += histogram_->value.at(static_cast<int>(i));
+    double below = 0;
+    for (unsigned i = 0; i < bucketCount; ++i) {
+        below += histogram_->value.at(static_cast<int>(i));
+        if (below >= quantile_ * total) {
+            // The upper edge: a hedge that is slightly late costs less than one that is not needed.
+            const double micros = histogram_->value.axis().bin(static_cast<int>(i)).upper();
+            delay_ = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::micro>(micros));
+            return;
+        }
+    }
+}
+
+} // namespace banyancroft::search
--- /dev/null
+++ b/libs/search/src/policy_state.cpp
@@ -0,0 +1,57 @@
+#include "search/policy_state.h"
+
+namespace banyancroft::search {
+
+namespace {
+
+// Lets a deployment with few groups hedge and retry at all: one query of 25 groups earns 1.25 hedges.
+constexpr double hedgeBurst = 16;
+constexpr double retryBurst = 32;
+// An index change makes the queries in flight restart together: about 8 queries of 350 groups per daemon at
+// 146 queries/s and 50 ms.
+constexpr double restartBurst = PolicyState::largestRestart;
+constexpr double restartPercent = 10;
+// Part of the default deadline after which a hedge is sent while there are too few samples.
+constexpr int fallbackDelayDivisor = 4;
+
+} // namespace
+
+PolicyState::PolicyState(const config::Policy& policy)
+    : policy_(policy)
+    , hedgeBudget_(policy.hedgeBudgetPercent, hedgeBurst)
+    , retryBudget_(policy.retryBudgetPercent, retryBurst)
+    , restartBudget_(restartPercent, restartBurst)
+{
+    apply(policy);
+}
+
+void PolicyState::apply(const config::Policy& policy)
+{
+    policy_ = policy;
+    hedgeBudget_.setPercent(policy.hedgeBudgetPercent);
+    retryBudget_.setPercent(policy.retryBudgetPercent);
+    for (auto& hedgePolicy : hedgePolicies_)
+        hedgePolicy.setQuantile(policy.hedgeQuantile);
+}
+
+HedgePolicy& PolicyState::hedgePolicy(ServiceSlot service)
+{
+    while (hedgePolicies_.size() <= service)
+        hedgePolicies_.emplace_back().setQuantile(policy_.hedgeQuantile);
+    return hedgePolicies_[service];
+}
+
+Duration PolicyState::hedgeDelay(ServiceSlot service)
+{
+    return hedgePolicy(service).delay(policy_.defaultDeadline / fallbackDelayDivisor);
+}
+
+void PolicyState::countSubrequests(std::uint64_t count)
+{
+    subrequests_ += count;
+    hedgeBudget_.earn(count);
+    retryBudget_.earn(count);
+    restartBudget_.earn(count);
+}
+
+} // namespace banyancroft::search
--- /dev/null
+++ b/libs/search/src/replica_selector.cpp
@@ -0,0 +1,134 @@
+#include "replica_selector.h"
+
+#include <algorithm>
+#include <array>
+
+namespace banyancroft::search {
+
+namespace {
+
+// Largest number of upstreams looked at per choice; of a larger pool a random stretch is taken.
+constexpr std::size_t maxConsidered = 64;
+
+// Penalties in queued requests per slot. Another zone costs 1 ms both ways, about two requests of 0.44 ms;
+// another region costs tens of milliseconds.
+constexpr float otherZonePenalty = 2;
+constexpr float otherRegionPenalty = 40;
+
+} // namespace
+
+std::uint32_t ReplicaSelector::draw(std::uint32_t bound)
+{
+    if (bound <= 1)
+        return 0;
+    return static_cast<std::uint32_t>(((random_() >> 32U) * bound) >> 32U);
+}
+
+ReplicaSelector::Standing ReplicaSelector::standing(
+    const ReplicaQuery& query, const UpstreamState& state, TimePoint now) const
+{
+    if (!state.serving() || (query.otherThanZone != noSlot && state.zone == query.otherThanZone))
+        return Standing::Excluded;
+    if (!state.mayServe(query.snapshot))
+        return query.ableOnly ? Standing::Excluded : Standing::OtherVersion;
+    Standing result = Standing::Ready;
+    if (state.failing() || state.avoidUntil > now) {
+        result = Standing::Failing;
+    } else if (state.cold) {
+        result = Standing::Cold;
+    }
+    return query.readyOnly && result != Standing::Ready ? Standing::Excluded : result;
+}
+
+UpstreamSlot ReplicaSelector::better(
+    const ReplicaQuery& query, std::span<const UpstreamSlot> ready, TimePoint now)
+{
+    const auto count = static_cast<std::uint32_t>(ready.size());
+    if (count == 1)
+        return ready.front();
+    // Starts at a random place so that several upstreams in the own zone share the work.
+    std::uint32_t first = draw(count);
+    for (std::uint32_t i = 0; i < count; ++i) {
+        const auto place = first + i < count ? first + i : first + i - count;
+        if (cluster_.upstream(ready[place]).zone == query.ownZone) {
+            first = place;
+            break;
+        }
+    }
+    auto second = draw(count - 1);
+    second += second >= first ? 1 : 0;
+
+    const auto cost = [&](UpstreamSlot slot) {
+        const auto& state = cluster_.upstream(slot);
+        auto value = static_cast<float>(cluster_.estimatedLoad(slot, now)) / static_cast<float>(state.slots)
+            + static_cast<float>(cluster_.estimatedLateness(slot, now));
+        if (state.zone != query.ownZone)
+            value += cluster_.sameRegion(state.zone, query.ownZone) ? otherZonePenalty : otherRegionPenalty;
+        return value;
+    };
+    return cost(ready[first]) <= cost(ready[second]) ? ready[first] : ready[second];
+}
+
+Reason ReplicaSelector::reasonForNone(const ReplicaQuery& query) const
+{
+    auto reason = Reason::NoCandidate;
+    for (const auto slot : query.members) {
+        const auto& state = cluster_.upstream(slot);
+        if (!state.configured)
+            continue;
+        if (state.serving() && !state.layouts.mayContain(query.snapshot.layout.value))
+            return Reason::LayoutVersionMismatch;
+        if (state.serving() && !state.mayServe(query.snapshot))
+            return Reason::IndexVersionMismatch;
+        if (!state.zoneServing) {
+            reason = Reason::ZoneOut;
+        } else if (state.draining) {
+            reason = Reason::UpstreamDraining;
+        }
+    }
+    return reason;
+}
+
+ReplicaChoice ReplicaSelector::choose(const ReplicaQuery& query, TimePoint now)
+{
+    std::array<UpstreamSlot, maxConsidered> ready;
+    std::size_t readyCount = 0;
+    std::array<UpstreamSlot, maxConsidered> other;
+    std::size_t otherCount = 0;
+    auto bestOther = Standing::Excluded;
+    UpstreamSlot trial = noSlot;
+
+    const auto size = query.members.size();
+    const auto considered = std::min(size, maxConsidered);
+    const auto start = size > maxConsidered ? draw(static_cast<std::uint32_t>(size)) : 0;
+    for (std::size_t i = 0; i < considered; ++i) {
+        const auto slot = query.members[start + i < size ? start + i : start + i - size];
+        if ((query.tried & triedBit(slot)) != 0)
+            continue;
+        const auto& state = cluster_.upstream(slot);
+        const auto found = standing(query, state, now);
+        if (found == Standing::Ready) {
+            ready[readyCount++] = slot;
+            continue;
+        }
+        if (found == Standing::Excluded)
+            continue;
+        if (query.allowTrial && state.nextTrial <= now && state.avoidUntil <= now)
+            trial = slot;
+        if (found < bestOther) {
+            bestOther = found;
+            otherCount = 0;
+        }
+        if (found == bestOther)
+            other[otherCount++] = slot;
+    }
+    if (readyCount > 0 && trial != noSlot)
+        return { trial, true, Reason::None };
+    if (readyCount > 0)
+        return { better(query, std::span(ready).first(readyCount), now), false, Reason::None };
+    if (otherCount > 0)
+        return { other[draw(static_cast<std::uint32_t>(otherCount))], false, Reason::None };
+    return { noSlot, false, reasonForNone(query) };
+}
+
+} // namespace banyancroft::search
--- /dev/null
+++ b/libs/search/src/search_coordinator.cpp
@@ -0,0 +1,504 @@
+#include "search/search_coordinator.h"
+
+#include "replica_selector.h"
+
+#include <algorithm>
+#include <random>
+
+namespace banyancroft::search {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A group whose upstreams refuse this often in a row will not answer in time.
+constexpr std::uint8_t maxFailuresPerGroup = 5;
+// Waits before retries: about a service time at first, doubled each time.
+constexpr Duration firstBackoff = 1ms;
+constexpr Duration longestBackoff = 16ms;
+// Whether a better snapshot exists is looked up at most this often per query: the look-up visits every group.
+constexpr Duration restartCheckInterval = 500us;
+// Room for hedges and retries in the list of sub-requests, as a divisor of the number of groups.
+constexpr std::size_t spareDivisor = 4;
+constexpr std::size_t leastSpare = 8;
+
+bool isVersionMismatch(Reason reason)
+{
+    return reason == Reason::IndexVersionMismatch || reason == Reason::LayoutVersionMismatch;
+}
+
+bool isNewer(const Snapshot& left, const Snapshot& right)
+{
+    return left.layout.value > right.layout.value
+        || (left.layout == right.layout && left.index.value > right.index.value);
+}
+
+/** Refusals that say nothing about load, so that another upstream can be asked at once. */
+bool retriesAtOnce(Reason reason) { return reason == Reason::WrongHome || isVersionMismatch(reason); }
+
+} // namespace
+
+void Actions::clear()
+{
+    sends.clear();
+    cancels.clear();
+    finished = false;
+}
+
+SearchCoordinator::SearchCoordinator(SearchRequest request, ClusterState& cluster, PolicyState& policy,
+    SequenceGenerator& sequences, Random& random)
+    : request_(std::move(request))
+    , cluster_(cluster)
+    , policy_(policy)
+    , sequences_(sequences)
+    , random_(random)
+{
+}
+
+const TopologyGroup& SearchCoordinator::topologyGroup(std::uint32_t group) const
+{
+    const auto& topology = *plan_.topology;
+    return topology.groups[topology.collections[plan_.collection].groups[group]];
+}
+
+void SearchCoordinator::start(TimePoint now, Actions& actions)
+{
+    startedAt_ = now;
+    const auto& policy = policy_.policy();
+    answerBy_ = std::min(request_.deadline, now + policy.maxDeadline) - policy.answerReserve;
+    ownZone_ = cluster_.findZone(request_.ownZone);
+
+    auto choice = cluster_.chooseSnapshot(request_.collection);
+    if (!choice) {
+        finish(now, actions);
+        return;
+    }
+    known_ = true;
+    plan_ = std::move(*choice);
+    begin(now, actions);
+    finishIfDecided(now, actions);
+}
+
+void SearchCoordinator::begin(TimePoint now, Actions& actions)
+{
+    seenTopology_ = cluster_.topology();
+    topologies_.push_back(plan_.topology);
+    const auto count = plan_.groups;
+    groups_.assign(count, {});
+    rows_.assign(count, {});
+    answered_ = 0;
+    lacking_ = 0;
+    nextDue_ = TimePoint::max();
+    subrequests_.reserve(subrequests_.size() + count + count / spareDivisor + leastSpare);
+    actions.sends.reserve(actions.sends.size() + count);
+    if (now >= answerBy_) {
+        for (std::uint32_t group = 0; group < count; ++group)
+            lack(group, Reason::DeadlineTooShort);
+        return;
+    }
+    for (std::uint32_t group = 0; group < count; ++group) {
+        if (const auto reason = send(group, SubrequestKind::First, now, actions); reason != Reason::None)
+            lack(group, reason);
+    }
+    if (attempt_ == 0)
+        policy_.countSubrequests(subrequests_.size());
+}
+
+Reason SearchCoordinator::send(std::uint32_t group, SubrequestKind kind, TimePoint now, Actions& actions)
+{
+    auto& state = groups_[group];
+    const auto& declared = topologyGroup(group);
+
+    ReplicaQuery query;
+    query.members = plan_.topology->membersOf(declared);
+    query.snapshot = plan_.snapshot;
+    query.ownZone = ownZone_;
+    query.tried = state.tried;
+    query.allowTrial = kind == SubrequestKind::First && attempt_ == 0;
+    query.ableOnly = kind != SubrequestKind::First;
+    if (kind == SubrequestKind::Hedge) {
+        query.readyOnly = true;
+        query.otherThanZone = cluster_.upstream(subrequests_[state.first].upstream).zone;
+    }
+    ReplicaSelector selector(cluster_, random_);
+    auto choice = selector.choose(query, now);
+    if (choice.upstream == noSlot && kind == SubrequestKind::Retry) {
+        // All were asked. Those that refused for a passing reason may accept by now.
+        query.tried = 0;
+        choice = selector.choose(query, now);
+    }
+    if (choice.upstream == noSlot)
+        return choice.reason;
+    if (kind == SubrequestKind::Hedge && !policy_.hedgeBudget().take())
+        return Reason::Overloaded;
+    if (kind == SubrequestKind::Retry && !policy_.retryBudget().take())
+        return Reason::RetryBudget;
+
+    if (choice.trial)
+        cluster_.startTrial(choice.upstream, now);
+    cluster_.sent(choice.upstream, now);
+    const auto place = static_cast<std::uint32_t>(subrequests_.size());
+    const auto sequence = sequences_.next();
+    auto& subrequest = subrequests_.emplace_back();
+    subrequest.sequence = sequence.value;
+    subrequest.upstream = choice.upstream;
+    subrequest.group = group;
+    subrequest.kind = kind;
+    subrequest.attempt = attempt_;
+    subrequest.sentAt = now;
+    subrequest.asked = plan_.snapshot;
+
+    state.tried |= triedBit(choice.upstream);
+    state.phase = GroupPhase::Asked;
+    if (kind == SubrequestKind::Hedge) {
+        state.hedge = place;
+        state.due = TimePoint::max();
+    } else {
+        state.first = place;
+        setDue(group, policy_.policy().hedge ? now + policy_.hedgeDelay(declared.service) : TimePoint::max());
+    }
+    actions.sends.push_back({ sequence, &cluster_.upstreamId(choice.upstream), declared.shards,
+        plan_.snapshot, kind == SubrequestKind::Hedge });
+    return Reason::None;
+}
+
+void SearchCoordinator::setDue(std::uint32_t group, TimePoint due)
+{
+    groups_[group].due = due;
+    nextDue_ = std::min(nextDue_, due);
+}
+
+SearchCoordinator::Subrequest* SearchCoordinator::find(wire::SequenceNumber sequence)
+{
+    if (subrequests_.empty() || sequence.value < subrequests_.front().sequence)
+        return nullptr;
+    // The first sub-requests have consecutive numbers; hedges and retries follow with gaps.
+    const auto guess = sequence.value - subrequests_.front().sequence;
+    if (guess < subrequests_.size() && subrequests_[guess].sequence == sequence.value)
+        return &subrequests_[guess];
+    const auto found = std::lower_bound(subrequests_.begin(), subrequests_.end(), sequence.value,
+        [](const Subrequest& entry, std::uint64_t value) { return entry.sequence < value; });
+    return found != subrequests_.end() && found->sequence == sequence.value ? &*found : nullptr;
+}
+
+void SearchCoordinator::onReply(wire::SubreplyItem&& reply, TimePoint now, Actions& actions)
+{
+    auto* const subrequest = find(reply.sequence);
+    if (subrequest == nullptr || cluster_.upstreamId(subrequest->upstream) != reply.upstream) {
+        ++counters_.foreignReplies;
+        return;
+    }
+    if (subrequest->replied) {
+        ++counters_.duplicateReplies;
+        return;
+    }
+    subrequest->replied = true;
+    cluster_.observe(subrequest->upstream, reply, subrequest->asked, now);
+    if (finished_ || subrequest->phase != SubrequestPhase::Sent) {
+        ++counters_.lateReplies;
+        return;
+    }
+    if (now >= request_.deadline) {
+        ++counters_.lateReplies;
+        finish(now, actions);
+        return;
+    }
+    followConfiguration();
+    subrequest->phase = SubrequestPhase::Replied;
+    subrequest->outcome = reply.outcome;
+    subrequest->endedAt = now;
+    subrequest->answered = { reply.layout, reply.index };
+    const auto place = static_cast<std::uint32_t>(subrequest - subrequests_.data());
+    if (!plan_.snapshot.index)
+        pinLate();
+    subrequest->reason = judge(reply);
+    if (subrequest->reason == Reason::None) {
+        accept(place, std::move(reply), now, actions);
+    } else {
+        reject(place, now, actions);
+    }
+    finishIfDecided(now, actions);
+}
+
+void SearchCoordinator::followConfiguration()
+{
+    const auto& current = cluster_.topology();
+    if (seenTopology_ == current)
+        return;
+    seenTopology_ = current;
+    if (!sameGroups(*plan_.topology, *current, request_.collection))
+        return;
+    plan_.topology = current;
+    plan_.collection = *current->findCollection(request_.collection);
+    topologies_.push_back(current);
+}
+
+void SearchCoordinator::pinLate()
+{
+    const auto choice = cluster_.chooseSnapshot(request_.collection);
+    if (!choice)
+        return;
+    if (choice->snapshot.layout == plan_.snapshot.layout) {
+        plan_.snapshot = choice->snapshot;
+    } else {
+        restartWanted_ = true;
+    }
+}
+
+Reason SearchCoordinator::judge(const wire::SubreplyItem& reply) const
+{
+    if (reply.outcome != Outcome::Done)
+        return reply.reason == Reason::None ? Reason::UpstreamFailed : reply.reason;
+    if (!reply.index)
+        return Reason::UpstreamMalformed;
+    if (reply.layout != plan_.snapshot.layout)
+        return Reason::LayoutVersionMismatch;
+    if (reply.index != plan_.snapshot.index)
+        return Reason::IndexVersionMismatch;
+    return Reason::None;
+}
+
+void SearchCoordinator::accept(
+    std::uint32_t place, wire::SubreplyItem&& reply, TimePoint now, Actions& actions)
+{
+    const auto& subrequest = subrequests_[place];
+    auto& group = groups_[subrequest.group];
+    auto& hedgePolicy = policy_.hedgePolicy(topologyGroup(subrequest.group).service);
+    hedgePolicy.observe(now - subrequest.sentAt);
+    rows_[subrequest.group] = std::move(reply.rows);
+    group.phase = GroupPhase::Answered;
+    group.due = TimePoint::max();
+    ++answered_;
+
+    const auto loser = group.first == place ? group.hedge : group.first;
+    if (loser != noSlot) {
+        const auto& other = subrequests_[loser];
+        // Its latency is at least this long; leaving it out would make the quantile too low.
+        hedgePolicy.observe(now - other.sentAt);
+        if (subrequest.kind == SubrequestKind::Hedge) {
+            ++counters_.hedgesWon;
+            cluster_.observeOvertaken(other.upstream, now);
+        }
+        cancel(loser, now, actions);
+    }
+    group.first = noSlot;
+    group.hedge = noSlot;
+}
+
+void SearchCoordinator::reject(std::uint32_t place, TimePoint now, Actions& actions)
+{
+    const auto& subrequest = subrequests_[place];
+    auto& group = groups_[subrequest.group];
+    group.reason = subrequest.reason;
+    if (subrequest.outcome == Outcome::Done)
+        ++counters_.otherVersion;
+    if (group.first == place)
+        group.first = noSlot;
+    if (group.hedge == place)
+        group.hedge = noSlot;
+    if (group.first != noSlot || group.hedge != noSlot) {
+        // The other copy is on its way; it takes the place of the first one.
+        if (group.first == noSlot)
+            std::swap(group.first, group.hedge);
+        group.due = TimePoint::max();
+        return;
+    }
+    scheduleRetry(subrequest.group, now, actions);
+}
+
+Duration SearchCoordinator::backoff(std::uint8_t failures)
+{
+    const auto wait = std::min(longestBackoff, firstBackoff * (1 << std::max(0, failures - 1)));
+    // Between half and one and a half times the wait, so that queries do not retry in step.
+    const auto spread = static_cast<std::uint64_t>(wait.count());
+    return wait / 2 + Duration(static_cast<std::int64_t>(random_() % (spread + 1)));
+}
+
+void SearchCoordinator::scheduleRetry(std::uint32_t place, TimePoint now, Actions& actions)
+{
+    auto& group = groups_[place];
+    group.phase = GroupPhase::Waiting;
+    ++group.failures;
+    if (group.failures > maxFailuresPerGroup) {
+        lack(place, group.reason);
+        return;
+    }
+    if (retriesAtOnce(group.reason)) {
+        retry(place, now, actions);
+        return;
+    }
+    const auto due = now + backoff(group.failures);
+    if (due >= answerBy_) {
+        lack(place, group.reason);
+    } else {
+        setDue(place, due);
+    }
+}
+
+void SearchCoordinator::retry(std::uint32_t place, TimePoint now, Actions& actions)
+{
+    const auto reason = send(place, SubrequestKind::Retry, now, actions);
+    if (reason == Reason::None) {
+        ++counters_.retries;
+        return;
+    }
+    auto& group = groups_[place];
+    if (reason != Reason::RetryBudget) {
+        lack(place, reason);
+        return;
+    }
+    if (isVersionMismatch(group.reason))
+        restartWanted_ = true;
+    group.reason = reason;
+    scheduleRetry(place, now, actions);
+}
+
+void SearchCoordinator::hedge(std::uint32_t place, TimePoint now, Actions& actions)
+{
+    if (send(place, SubrequestKind::Hedge, now, actions) == Reason::None) {
+        ++counters_.hedges;
+        return;
+    }
+    // Budget or candidates may be there after another wait of the same length.
+    setDue(place, now + std::max(policy_.hedgeDelay(topologyGroup(place).service), Duration(firstBackoff)));
+}
+
+void SearchCoordinator::lack(std::uint32_t place, Reason reason)
+{
+    auto& group = groups_[place];
+    group.phase = GroupPhase::Lacking;
+    group.reason = reason;
+    group.due = TimePoint::max();
+    ++lacking_;
+    restartWanted_ = restartWanted_ || isVersionMismatch(reason);
+}
+
+void SearchCoordinator::cancel(std::uint32_t place, TimePoint now, Actions& actions)
+{
+    auto& subrequest = subrequests_[place];
+    subrequest.phase = SubrequestPhase::Cancelled;
+    subrequest.reason = Reason::Cancelled;
+    subrequest.endedAt = now;
+    actions.cancels.push_back({ { subrequest.sequence }, &cluster_.upstreamId(subrequest.upstream) });
+}
+
+void SearchCoordinator::cancelOutstanding(TimePoint now, Actions& actions)
+{
+    for (auto& group : groups_) {
+        for (const auto place : { group.first, group.hedge }) {
+            if (place != noSlot)
+                cancel(place, now, actions);
+        }
+        group.first = noSlot;
+        group.hedge = noSlot;
+    }
+}
+
+bool SearchCoordinator::restartIfBetter(TimePoint now, Actions& actions)
+{
+    if (attempt_ > 0 || now < nextRestartCheck_)
+        return false;
+    nextRestartCheck_ = now + restartCheckInterval;
+    auto choice = cluster_.chooseSnapshot(request_.collection);
+    if (!choice || choice->snapshot == plan_.snapshot || choice->groups == 0)
+        return false;
+    Duration expected {};
+    std::uint32_t ableNow = 0;
+    for (std::uint32_t group = 0; group < plan_.groups; ++group) {
+        const auto& declared = topologyGroup(group);
+        expected = std::max(expected, policy_.hedgeDelay(declared.service));
+        const bool able = groups_[group].phase == GroupPhase::Answered
+            || (groups_[group].phase != GroupPhase::Lacking
+                && cluster_.groupAble(*plan_.topology, declared, plan_.snapshot));
+        ableNow += able ? 1 : 0;
+    }
+    const bool coversMore
+        = std::uint64_t { choice->ableGroups } * plan_.groups > std::uint64_t { ableNow } * choice->groups;
+    const bool newer = choice->complete() && isNewer(choice->snapshot, plan_.snapshot);
+    if ((!coversMore && !newer) || now + expected >= answerBy_)
+        return false;
+    if (!policy_.restartBudget().take(std::min(choice->groups, PolicyState::largestRestart)))
+        return false;
+
+    cancelOutstanding(now, actions);
+    earlier_ = Attempt { std::move(plan_), std::move(groups_), std::move(rows_) };
+    plan_ = std::move(*choice);
+    ++attempt_;
+    ++counters_.restarts;
+    begin(now, actions);
+    return true;
+}
+
+void SearchCoordinator::onTimer(TimePoint now, Actions& actions)
+{
+    if (finished_)
+        return;
+    if (now >= answerBy_) {
+        finish(now, actions);
+        return;
+    }
+    if (now < nextDue_)
+        return;
+    followConfiguration();
+    nextDue_ = TimePoint::max();
+    for (std::uint32_t place = 0; place < groups_.size(); ++place) {
+        const auto& group = groups_[place];
+        if (group.due > now) {
+            nextDue_ = std::min(nextDue_, group.due);
+        } else if (group.phase == GroupPhase::Waiting) {
+            retry(place, now, actions);
+        } else {
+            hedge(place, now, actions);
+        }
+    }
+    finishIfDecided(now, actions);
+}
+
+TimePoint SearchCoordinator::nextTimer() const
+{
+    return finished_ ? TimePoint::max() : std::min(nextDue_, answerBy_);
+}
+
+void SearchCoordinator::finishIfDecided(TimePoint now, Actions& actions)
+{
+    if (finished_)
+        return;
+    const bool decided = answered_ + lacking_ == groups_.size() || (request_.requireAll && lacking_ > 0);
+    if (restartWanted_) {
+        if (decided)
+            nextRestartCheck_ = now;
+        if (restartIfBetter(now, actions)) {
+            restartWanted_ = false;
+            finishIfDecided(now, actions);
+            return;
+        }
+    }
+    if (decided || now >= answerBy_)
+        finish(now, actions);
+}
+
+void SearchCoordinator::finish(TimePoint now, Actions& actions)
+{
+    for (std::uint32_t place = 0; place < groups_.size(); ++place) {
+        auto& group = groups_[place];
+        if (group.phase == GroupPhase::Asked) {
+            // A refusal of a partial answer is decided as soon as one shard is certain to lack.
+            group.reason = now >= answerBy_ ? Reason::DeadlineExceeded : Reason::Cancelled;
+            auto& hedgePolicy = policy_.hedgePolicy(topologyGroup(place).service);
+            const auto late = policy_.hedgeDelay(topologyGroup(place).service);
+            for (const auto pending : { group.first, group.hedge }) {
+                if (pending == noSlot || now - subrequests_[pending].sentAt < late)
+                    continue;
+                hedgePolicy.observe(now - subrequests_[pending].sentAt);
+                cluster_.observeNoReply(subrequests_[pending].upstream, now);
+            }
+        }
+        if (group.phase != GroupPhase::Answered)
+            group.phase = GroupPhase::Lacking;
+    }
+    cancelOutstanding(now, actions);
+    finished_ = true;
+    actions.finished = true;
+}
+
+} // namespace banyancroft::search
--- /dev/null
+++ b/libs/search/src/snapshot_selector.cpp
@@ -0,0 +1,121 @@
+#include "snapshot_selector.h"
+
+#include <algorithm>
+#include <array>
+#include <bit>
+
+namespace banyancroft::search {
+
+namespace {
+
+/** Distinct index versions, newest first, at most 32 so that a set of them is one 32-bit mask. */
+class Candidates {
+public:
+    static constexpr std::size_t capacity = 32;
+    using Mask = std::uint32_t;
+    static constexpr Mask any = ~Mask { 0 };
+
+    void add(const VersionSet& set)
+    {
+        for (const auto version : set.versions()) {
+            auto* const end = values_.begin() + size_;
+            auto* const place = std::lower_bound(values_.begin(), end, version, std::greater<> {});
+            if (place != end && *place == version)
+                continue;
+            if (size_ < capacity) {
+                ++size_;
+            } else if (place == end) {
+                continue;
+            }
+            std::move_backward(place, values_.begin() + size_ - 1, values_.begin() + size_);
+            *place = version;
+        }
+    }
+
+    Mask maskOf(const VersionSet& set) const
+    {
+        if (!set.known())
+            return any;
+        Mask mask = 0;
+        for (const auto version : set.versions()) {
+            for (std::size_t i = 0; i < size_; ++i) {
+                if (values_[i] == version)
+                    mask |= Mask { 1 } << i;
+            }
+        }
+        return mask;
+    }
+
+    Mask all() const { return size_ == capacity ? any : (Mask { 1 } << size_) - 1; }
+    std::size_t size() const { return size_; }
+    std::uint64_t operator[](std::size_t place) const { return values_[place]; }
+
+private:
+    std::array<std::uint64_t, capacity> values_ {};
+    std::size_t size_ = 0;
+};
+
+} // namespace
+
+SnapshotChoice SnapshotSelector::select(
+    const std::shared_ptr<const Topology>& topology, std::uint32_t collection) const
+{
+    const auto& groups = topology->collections[collection].groups;
+    SnapshotChoice choice { topology, collection, { topology->layout, {} }, 0,
+        static_cast<std::uint32_t>(groups.size()) };
+
+    Candidates candidates;
+    for (const auto group : groups) {
+        for (const auto slot : topology->membersOf(topology->groups[group])) {
+            const auto& state = cluster_.upstream(slot);
+            if (state.serving() && state.layouts.mayContain(topology->layout.value))
+                candidates.add(state.indexes);
+        }
+    }
+
+    std::array<std::uint32_t, Candidates::capacity> ableGroups {};
+    std::uint32_t groupsAbleAtAny = 0;
+    Candidates::Mask everyReady = candidates.all();
+    Candidates::Mask everyServing = candidates.all();
+    for (const auto group : groups) {
+        Candidates::Mask ready = 0;
+        Candidates::Mask serving = 0;
+        for (const auto slot : topology->membersOf(topology->groups[group])) {
+            const auto& state = cluster_.upstream(slot);
+            if (!state.serving() || !state.layouts.mayContain(topology->layout.value))
+                continue;
+            const auto mask = candidates.maskOf(state.indexes);
+            serving |= mask;
+            if (!state.failing() && !state.cold)
+                ready |= mask;
+        }
+        // A group that serves nothing lacks at any version, so it has no say in the choice.
+        if (serving == 0)
+            continue;
+        ++groupsAbleAtAny;
+        everyReady &= ready;
+        everyServing &= serving;
+        for (std::size_t i = 0; i < candidates.size(); ++i)
+            ableGroups[i] += (serving >> i) & 1U;
+    }
+
+    if (candidates.size() == 0) {
+        choice.ableGroups = groupsAbleAtAny;
+        return choice;
+    }
+    std::size_t best = 0;
+    if (everyReady != 0) {
+        best = static_cast<std::size_t>(std::countr_zero(everyReady));
+    } else if (everyServing != 0) {
+        best = static_cast<std::size_t>(std::countr_zero(everyServing));
+    } else {
+        best = static_cast<std::size_t>(
+            std::max_element(ableGroups.begin(), ableGroups.begin() + candidates.size())
+            - ableGroups.begin());
+    }
+    choice.snapshot.index = { candidates[best] };
+    choice.ableGroups = ableGroups[best];
+    return choice;
+}
+
+} // namespace banyancroft::search
--- /dev/null
+++ b/libs/search/src/snapshot_selector.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "search/cluster_state.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace banyancroft::search {
+
+/**
+ * Finds the newest index version that every group of a collection serves at the layout of a topology.
+ * Upstreams that are cold or failing are left out as long as the others suffice.
+ */
+class SnapshotSelector {
+public:
+    explicit SnapshotSelector(const ClusterState& cluster)
+        : cluster_(cluster)
+    {
+    }
+
+    SnapshotChoice select(const std::shared_ptr<const Topology>& topology, std::uint32_t collection) const;
+
+private:
+    const ClusterState& cluster_;
+};
+
+} // namespace banyancroft::search
