Check the search coordinator against a disturbed fleet

Faults that the stateful test found, fixed here: shards still open when the query restarted were listed as covered if the earlier attempt became the answer (reason None); a group without shards made every answer partial.

Also: up to three upstreams are compared instead of two, since with two loaded ones in the own zone one third of the choices still went to them; the shortest interval of trials is 50 ms instead of 20 ms.

--- a/libs/search/src/answer.cpp
+++ b/libs/search/src/answer.cpp
@@ -40,18 +40,24 @@
     answer.snapshot = plan_.snapshot;
     answer.topology = plan_.topology;
     Reason firstLacking = Reason::None;
+    std::size_t answeredGroups = 0;
     for (std::uint32_t place = 0; place < groups_.size(); ++place) {
         const auto& group = groups_[place];
         const auto& declared = topologyGroup(place);
-        const auto reason = group.phase == GroupPhase::Answered ? Reason::None : group.reason;
+        const bool covered = group.phase == GroupPhase::Answered;
+        auto reason = covered ? Reason::None : group.reason;
+        // Whatever the reason, a shard without rows is never listed as covered.
+        if (!covered && reason == Reason::None)
+            reason = Reason::Cancelled;
         if (firstLacking == Reason::None || firstLacking == Reason::Cancelled)
             firstLacking = reason;
         for (const auto& shard : declared.shards)
             answer.coverage.push_back({ shard.view(), declared.id.view(), reason });
-        if (reason == Reason::None)
+        answeredGroups += covered ? 1 : 0;
+        if (covered)
             answer.coveredShards += static_cast<std::uint32_t>(declared.shards.size());
     }
-    answer.complete = firstLacking == Reason::None;
+    answer.complete = answeredGroups == groups_.size();
     if (request_.requireAll && !answer.complete) {
         answer.refusal = firstLacking;
         return answer;
--- a/libs/search/src/cluster_state.cpp
+++ b/libs/search/src/cluster_state.cpp
@@ -26,9 +26,9 @@
 // A home that reports draining or a zone out is ahead of the configuration here.
 constexpr Duration avoidAfterLeaving = 1s;
 
-// Each entry tries an avoided upstream once per interval; at 560 entries and the longest interval that is
-// 112 sub-requests/s, a small part of the 6,833/s that a warm upstream serves.
-constexpr Duration shortestTrialInterval = 20ms;
+// Each entry tries an avoided upstream once per interval. Answers shorten it and refusals double it, so that
+// 560 entries together settle at what a cold upstream accepts; at the longest interval they send 112/s.
+constexpr Duration shortestTrialInterval = 50ms;
 constexpr Duration firstTrialInterval = 250ms;
 constexpr Duration longestTrialInterval = 5s;
 // An upstream that does not serve the pinned version is asked this often whether it serves it now.
@@ -203,8 +203,11 @@
         auto& entry = topology->collections.emplace_back();
         entry.name = collection.name;
         for (const auto& service : collection.services) {
-            const auto& groups = groupsOfService[serviceSlotOf(service)];
-            entry.groups.insert(entry.groups.end(), groups.begin(), groups.end());
+            // A group without shards has nothing to answer.
+            for (const auto group : groupsOfService[serviceSlotOf(service)]) {
+                if (!topology->groups[group].shards.empty())
+                    entry.groups.push_back(group);
+            }
         }
     }
     for (const auto& operation : document.operations) {
--- a/libs/search/src/replica_selector.cpp
+++ b/libs/search/src/replica_selector.cpp
@@ -46,17 +46,18 @@
     const auto count = static_cast<std::uint32_t>(ready.size());
     if (count == 1)
         return ready.front();
-    // Starts at a random place so that several upstreams in the own zone share the work.
-    std::uint32_t first = draw(count);
-    for (std::uint32_t i = 0; i < count; ++i) {
-        const auto place = first + i < count ? first + i : first + i - count;
-        if (cluster_.upstream(ready[place]).zone == query.ownZone) {
-            first = place;
-            break;
+    // Up to two of the own zone and, beside them, one or two others; each search starts at a random place.
+    std::array<UpstreamSlot, 3> drawn;
+    std::size_t drawnCount = 0;
+    const auto add = [&](std::uint32_t start, bool own, std::size_t wanted) {
+        for (std::uint32_t i = 0; i < count && drawnCount < wanted; ++i) {
+            const auto slot = ready[start + i < count ? start + i : start + i - count];
+            if ((cluster_.upstream(slot).zone == query.ownZone) == own)
+                drawn[drawnCount++] = slot;
         }
-    }
-    auto second = draw(count - 1);
-    second += second >= first ? 1 : 0;
+    };
+    add(draw(count), true, 2);
+    add(draw(count), false, std::max<std::size_t>(drawnCount + 1, 2));
 
     const auto cost = [&](UpstreamSlot slot) {
         const auto& state = cluster_.upstream(slot);
@@ -66,7 +67,15 @@
             value += cluster_.sameRegion(state.zone, query.ownZone) ? otherZonePenalty : otherRegionPenalty;
         return value;
     };
-    return cost(ready[first]) <= cost(ready[second]) ? ready[first] : ready[second];
+    auto best = drawn[0];
+    auto bestCost = cost(best);
+    for (std::size_t i = 1; i < drawnCount; ++i) {
+        if (const auto other = cost(drawn[i]); other < bestCost) {
+            best = drawn[i];
+            bestCost = other;
+        }
+    }
+    return best;
 }
 
 Reason ReplicaSelector::reasonForNone(const ReplicaQuery& query) const
--- a/libs/search/src/replica_selector.h
+++ b/libs/search/src/replica_selector.h
@@ -42,8 +42,8 @@
 constexpr std::uint64_t triedBit(UpstreamSlot slot) { return std::uint64_t { 1 } << (slot % 64); }
 
 /**
- * Chooses an upstream of a group: among the ready ones the less loaded of two drawn at random, the first of
- * them from the own zone, which is kept when the loads are comparable. Two random draws avoid that all
+ * Chooses an upstream of a group: among the ready ones the least loaded of two or three drawn at random, up
+ * to two of them from the own zone, which is kept when the loads are comparable. Random draws avoid that all
  * entries send to the one upstream that was least loaded a moment ago.
  */
 class ReplicaSelector {
--- a/libs/search/src/search_coordinator.cpp
+++ b/libs/search/src/search_coordinator.cpp
@@ -420,6 +420,13 @@
     if (!policy_.restartBudget().take(std::min(choice->groups, PolicyState::largestRestart)))
         return false;
 
+    // The earlier attempt may become the answer after all; its open shards then lack because of the restart.
+    const auto abandoned = choice->snapshot.layout == plan_.snapshot.layout ? Reason::IndexVersionMismatch
+                                                                            : Reason::LayoutVersionMismatch;
+    for (auto& group : groups_) {
+        if (group.phase == GroupPhase::Asked || group.phase == GroupPhase::Waiting)
+            group.reason = abandoned;
+    }
     cancelOutstanding(now, actions);
     earlier_ = Attempt { std::move(plan_), std::move(groups_), std::move(rows_) };
     plan_ = std::move(*choice);
--- a/libs/search/tests/fixture.h
+++ b/libs/search/tests/fixture.h
@@ -25,11 +25,11 @@
         document.zones.push_back({ AvailabilityZone(zone), RegionId("r"), true });
     config::Service service { ServiceId("desk"), 3, 30, 1, 6ms, {} };
     for (unsigned group = 0; group < groups; ++group) {
-        const auto name = "g" + std::to_string(group);
-        config::ShardGroup entry { GroupId(name), { ShardId("s" + std::to_string(group)) }, {} };
-        for (const char* zone : { "a", "b", "c" }) {
-            entry.upstreams.push_back(
-                { UpstreamId(name + "-" + zone), "127.0.0.1", 1, AvailabilityZone(zone), false });
+        const auto groupName = "g" + std::to_string(group);
+        config::ShardGroup entry { GroupId(groupName), { ShardId("s" + std::to_string(group)) }, {} };
+        for (const char* name : { "a", "b", "c", "d" }) {
+            const AvailabilityZone zone(*name == 'd' ? "a" : name);
+            entry.upstreams.push_back({ UpstreamId(groupName + "-" + name), "127.0.0.1", 1, zone, false });
         }
         service.groups.push_back(std::move(entry));
     }
@@ -85,6 +85,11 @@
         search->onReply(std::move(item), now, actions);
     }
 
+    ZoneSlot zoneOf(const SendItem& item) const
+    {
+        return cluster.upstream(*cluster.findUpstream(*item.upstream)).zone;
+    }
+
     /** Takes the sub-requests to send since the last call. */
     std::vector<SendItem> sends()
     {
@@ -100,6 +105,18 @@
         search->onTimer(now, actions);
     }
 
+    /** Tells the cluster what a reply of the upstream would. */
+    void learn(
+        const std::string& upstream, std::uint32_t load, bool cold, std::vector<IndexVersion> indexes = {})
+    {
+        wire::SubreplyItem reply;
+        reply.reason = Reason::QueueFull;
+        reply.load = load;
+        reply.cold = cold;
+        reply.servedIndexes = std::move(indexes);
+        cluster.observe(*cluster.findUpstream(UpstreamId(upstream)), reply, {}, now);
+    }
+
     TimePoint now = startTime;
     config::Document configuration;
     ClusterState cluster;
