Hedge in time when stragglers are many, and share wake-ups

The new benchmark (350 groups of three upstreams, processor time of the coordinator only) showed two faults of a service with 20 % stragglers: the running p95 moved to the deadline, so that hedges and the restart were never sent, and 350 jittered retries caused as many wake-ups, each visiting every group. Hedges now leave twice the median for their answer, the restart needs the same, and timers are rounded up to 250 us. A group whose upstreams all fail no longer holds the pinned index version back.

Seen with the mechanism disabled: HedgeLeavesTimeForItsAnswer and GroupThatFailsDoesNotHoldBackThePin fail. ./test: 5 of 5 programs pass.

--- a/libs/search/include/search/policy_state.h
+++ b/libs/search/include/search/policy_state.h
@@ -30,17 +30,21 @@
     void setQuantile(double quantile);
     /** Wait before a hedge; `fallback` while there are too few samples. */
     Duration delay(Duration fallback) const;
+    /** Median latency; `fallback` while there are too few samples. */
+    Duration median(Duration fallback) const;
     std::uint64_t samples() const { return samples_; }
 
 private:
     struct Histogram;
 
     void refresh();
+    Duration quantile(double share, double total) const;
 
     std::unique_ptr<Histogram> histogram_;
     double quantile_ = 0.95;
     std::uint64_t samples_ = 0;
     Duration delay_ {};
+    Duration median_ {};
 };
 
 /**
@@ -63,6 +67,8 @@
     HedgePolicy& hedgePolicy(ServiceSlot service);
     /** Wait before a hedge to this service. */
     Duration hedgeDelay(ServiceSlot service);
+    /** Time in which an answer of this service can be expected: twice the median. */
+    Duration expectedLatency(ServiceSlot service);
 
     /** Counts sub-requests that are neither hedges nor retries nor part of a restart. */
     void countSubrequests(std::uint64_t count);
--- a/libs/search/include/search/search_coordinator.h
+++ b/libs/search/include/search/search_coordinator.h
@@ -209,6 +209,7 @@
     void begin(TimePoint now, Actions& actions);
     /** None when it was sent, otherwise why not. */
     Reason send(std::uint32_t group, SubrequestKind kind, TimePoint now, Actions& actions);
+    TimePoint hedgeDue(ServiceSlot service, TimePoint now);
     void setDue(std::uint32_t group, TimePoint due);
     Subrequest* find(wire::SequenceNumber sequence);
     void pinLate();
--- a/libs/search/src/hedge_policy.cpp
+++ b/libs/search/src/hedge_policy.cpp
@@ -62,21 +62,30 @@
 
 Duration HedgePolicy::delay(Duration fallback) const { return samples_ < leastSamples ? fallback : delay_; }
 
+Duration HedgePolicy::median(Duration fallback) const { return samples_ < leastSamples ? fallback : median_; }
+
 void HedgePolicy::refresh()
 {
     double total = 0;
     for (unsigned i = 0; i < bucketCount; ++i)
         total += histogram_->value.at(static_cast<int>(i));
+    delay_ = quantile(quantile_, total);
+    median_ = quantile(0.5, total);
+}
+
+Duration HedgePolicy::quantile(double share, double total) const
+{
     double below = 0;
+    double micros = highestMicros;
     for (unsigned i = 0; i < bucketCount; ++i) {
         below += histogram_->value.at(static_cast<int>(i));
-        if (below >= quantile_ * total) {
+        if (below >= share * total) {
             // The upper edge: a hedge that is slightly late costs less than one that is not needed.
-            const double micros = histogram_->value.axis().bin(static_cast<int>(i)).upper();
-            delay_ = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::micro>(micros));
-            return;
+            micros = histogram_->value.axis().bin(static_cast<int>(i)).upper();
+            break;
         }
     }
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::micro>(micros));
 }
 
 } // namespace banyancroft::search
--- a/libs/search/src/policy_state.cpp
+++ b/libs/search/src/policy_state.cpp
@@ -46,6 +46,11 @@
     return hedgePolicy(service).delay(policy_.defaultDeadline / fallbackDelayDivisor);
 }
 
+Duration PolicyState::expectedLatency(ServiceSlot service)
+{
+    return 2 * hedgePolicy(service).median(policy_.defaultDeadline / (2 * fallbackDelayDivisor));
+}
+
 void PolicyState::countSubrequests(std::uint64_t count)
 {
     subrequests_ += count;
--- a/libs/search/src/search_coordinator.cpp
+++ b/libs/search/src/search_coordinator.cpp
@@ -16,6 +16,8 @@
 // Waits before retries: about a service time at first, doubled each time.
 constexpr Duration firstBackoff = 1ms;
 constexpr Duration longestBackoff = 16ms;
+// A wake-up visits every group, which would be costly for each of hundreds of retries on its own.
+constexpr Duration timerGranularity = 250us;
 // Whether a better snapshot exists is looked up at most this often per query: the look-up visits every group.
 constexpr Duration restartCheckInterval = 500us;
 // Room for hedges and retries in the list of sub-requests, as a divisor of the number of groups.
@@ -155,15 +157,29 @@
         state.due = TimePoint::max();
     } else {
         state.first = place;
-        setDue(group, policy_.policy().hedge ? now + policy_.hedgeDelay(declared.service) : TimePoint::max());
+        setDue(group, hedgeDue(declared.service, now));
     }
     actions.sends.push_back({ sequence, &cluster_.upstreamId(choice.upstream), declared.shards,
         plan_.snapshot, kind == SubrequestKind::Hedge });
     return Reason::None;
 }
 
+TimePoint SearchCoordinator::hedgeDue(ServiceSlot service, TimePoint now)
+{
+    if (!policy_.policy().hedge)
+        return TimePoint::max();
+    const auto due = now + policy_.hedgeDelay(service);
+    // With many stragglers the quantile is near the deadline. A hedge then still needs time to be answered.
+    const auto expected = policy_.expectedLatency(service);
+    const auto latest = answerBy_ - expected;
+    return latest > now + expected ? std::min(due, latest) : due;
+}
+
 void SearchCoordinator::setDue(std::uint32_t group, TimePoint due)
 {
+    // Rounded up, so that the hedges and retries of many groups share a wake-up.
+    if (due != TimePoint::max())
+        due += timerGranularity - 1ns - (due - startedAt_ - 1ns) % timerGranularity;
     groups_[group].due = due;
     nextDue_ = std::min(nextDue_, due);
 }
@@ -406,7 +422,7 @@
     std::uint32_t ableNow = 0;
     for (std::uint32_t group = 0; group < plan_.groups; ++group) {
         const auto& declared = topologyGroup(group);
-        expected = std::max(expected, policy_.hedgeDelay(declared.service));
+        expected = std::max(expected, policy_.expectedLatency(declared.service));
         const bool able = groups_[group].phase == GroupPhase::Answered
             || (groups_[group].phase != GroupPhase::Lacking
                 && cluster_.groupAble(*plan_.topology, declared, plan_.snapshot));
--- a/libs/search/src/snapshot_selector.cpp
+++ b/libs/search/src/snapshot_selector.cpp
@@ -76,9 +76,10 @@
     std::array<std::uint32_t, Candidates::capacity> ableGroups {};
     std::uint32_t groupsAbleAtAny = 0;
     Candidates::Mask everyReady = candidates.all();
-    Candidates::Mask everyServing = candidates.all();
+    Candidates::Mask everyAlive = candidates.all();
     for (const auto group : groups) {
         Candidates::Mask ready = 0;
+        Candidates::Mask alive = 0;
         Candidates::Mask serving = 0;
         for (const auto slot : topology->membersOf(topology->groups[group])) {
             const auto& state = cluster_.upstream(slot);
@@ -86,17 +87,17 @@
                 continue;
             const auto mask = candidates.maskOf(state.indexes);
             serving |= mask;
-            if (!state.failing() && !state.cold)
-                ready |= mask;
+            alive |= state.failing() ? 0 : mask;
+            ready |= state.failing() || state.cold ? 0 : mask;
         }
-        // A group that serves nothing lacks at any version, so it has no say in the choice.
-        if (serving == 0)
-            continue;
-        ++groupsAbleAtAny;
-        everyReady &= ready;
-        everyServing &= serving;
+        groupsAbleAtAny += serving != 0 ? 1 : 0;
         for (std::size_t i = 0; i < candidates.size(); ++i)
             ableGroups[i] += (serving >> i) & 1U;
+        // A group that answers nothing lacks at any version, so it must not hold the others back.
+        if (alive != 0) {
+            everyReady &= ready;
+            everyAlive &= alive;
+        }
     }
 
     if (candidates.size() == 0) {
@@ -106,8 +107,8 @@
     std::size_t best = 0;
     if (everyReady != 0) {
         best = static_cast<std::size_t>(std::countr_zero(everyReady));
-    } else if (everyServing != 0) {
-        best = static_cast<std::size_t>(std::countr_zero(everyServing));
+    } else if (everyAlive != 0) {
+        best = static_cast<std::size_t>(std::countr_zero(everyAlive));
     } else {
         best = static_cast<std::size_t>(
             std::max_element(ableGroups.begin(), ableGroups.begin() + candidates.size())
--- a/libs/search/tests/test_coordinator.cpp
+++ b/libs/search/tests/test_coordinator.cpp
@@ -177,6 +177,19 @@
     BOOST_TEST(f.search->answer().rowCount == 1U);
 }
 
+// A hedge at a quantile that stragglers moved to the deadline would come too late to be answered.
+BOOST_AUTO_TEST_CASE(HedgeLeavesTimeForItsAnswer)
+{
+    Fixture f(1);
+    for (int i = 0; i < 640; ++i)
+        f.policyState.hedgePolicy(0).observe(i % 5 == 0 ? 140ms : 2ms);
+    f.begin(150ms);
+    f.sends();
+    f.timer();
+    BOOST_REQUIRE(f.sends().size() == 1U);
+    BOOST_TEST((f.search->answerBy() - f.now > 3ms));
+}
+
 // Hedges or retries beyond their share, which would double the load of a fleet that is slow already. An
 // answer from the wrong home is retried at once, but counts like any other retry.
 BOOST_AUTO_TEST_CASE(HedgesAndRetriesStayWithinTheirBudgets)
--- a/libs/search/tests/test_selection.cpp
+++ b/libs/search/tests/test_selection.cpp
@@ -71,6 +71,22 @@
     BOOST_TEST(f.cluster.chooseSnapshot("all")->snapshot.index.value == 6U);
 }
 
+// A group that is down for long would hold all queries at the last version that it served.
+BOOST_AUTO_TEST_CASE(GroupThatFailsDoesNotHoldBackThePin)
+{
+    Fixture f(2);
+    for (const std::string name : { "a", "b", "c", "d" }) {
+        f.learn("g0-" + name, 0, false, { { 5 }, { 6 } });
+        f.learn("g1-" + name, 0, false, { { 5 } });
+    }
+    BOOST_TEST(f.cluster.chooseSnapshot("all")->snapshot.index.value == 5U);
+    for (const std::string name : { "a", "b", "c", "d" }) {
+        for (int i = 0; i < 2; ++i)
+            f.cluster.observeNoReply(*f.cluster.findUpstream(UpstreamId("g1-" + name)), f.now);
+    }
+    BOOST_TEST(f.cluster.chooseSnapshot("all")->snapshot.index.value == 6U);
+}
+
 // A wait before hedges that stays at an old latency after the service became slower or faster.
 BOOST_AUTO_TEST_CASE(HedgeDelayFollowsTheLatencyOfTheService)
 {
