--- /dev/null
+++ b/libs/daemon/src/peer_connection.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/error.h"
+#include "wire/codec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace banyancroft::daemon {
+
+/**
+ * One TCP connection between daemons, in either direction: frames in, frames out.
+ *
+ * Lives on the thread of its socket and is called only there. start() keeps the connection alive until it
+ * closes; onClosed runs exactly once, unless close() was called first.
+ */
+class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    struct Hooks {
+        std::function<void(const std::shared_ptr<PeerConnection>&, wire::Message)> onMessage;
+        std::function<void(const std::shared_ptr<PeerConnection>&, const Error&)> onClosed;
+    };
+
+    /** @param id unique in this process; names the origin of queries */
+    PeerConnection(Socket socket, std::uint64_t id, Hooks hooks, wire::FrameReader frames = {});
+
+    void start();
+    /** Queues a message. When the peer reads too slowly and the queue is full, the connection is closed. */
+    void send(const wire::Message& message);
+    /** Closes without running onClosed. */
+    void close();
+
+    std::uint64_t id() const { return id_; }
+
+    /** Takes the socket and the unread bytes, for the hand-over to another thread. The object is then closed.
+     */
+    std::pair<int, wire::FrameReader> release();
+
+private:
+    void read();
+    /** Handles all whole messages; false when the connection was closed meanwhile. */
+    bool handleFrames();
+    void write();
+    void fail(const Error& reason);
+
+    Socket socket_;
+    const std::uint64_t id_;
+    Hooks hooks_;
+    wire::FrameReader frames_;
+    std::array<char, 64 * 1024> readBuffer_;
+    std::string queued_;
+    std::string writing_;
+    bool closed_ = false;
+};
+
+} // namespace banyancroft::daemon
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -22,6 +22,8 @@
     AvailabilityZone zone;
     /** Configuration version in force at the sender. */
     ConfigVersion configVersion;
+    /** True for connections of the control thread, false for those of a traffic thread. */
+    bool control = false;
 };
 
 struct SubrequestItem {
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -140,7 +140,8 @@
 }
 } // namespace msgpack
 
-BANYANCROFT_WIRE_FIELDS(Hello, &Self::vm, &Self::incarnation, &Self::zone, &Self::configVersion)
+BANYANCROFT_WIRE_FIELDS(
+    Hello, &Self::vm, &Self::incarnation, &Self::zone, &Self::configVersion, &Self::control)
 BANYANCROFT_WIRE_FIELDS(SubrequestItem, &Self::sequence, &Self::upstream, &Self::shards, &Self::hedge)
 BANYANCROFT_WIRE_FIELDS(SubrequestBatch, &Self::query, &Self::remainingMicros, &Self::traceparent,
     &Self::collection, &Self::layout, &Self::index, &Self::where, &Self::limit, &Self::items)
