Add the membership library

Cause: the daemon needs views, leases, promises and authority as decisions without I/O before it can be wired.

Change: libs/membership with View, MemberRecord, rendezvous homes, LeaseTracker, PromiseTracker, ZoneViews and Membership (events in, actions out). Share and Authority move to base/authority.h; home.h keeps its names by using-declarations. clang-tidy 14 reports the defaulted comparisons of base/ids.h as null pointers, which NOLINT silences there.

--- a/libs/base/include/base/ids.h
+++ b/libs/base/include/base/ids.h
@@ -28,7 +28,8 @@
     const std::string& str() const { return value_; }
     bool empty() const { return value_.empty(); }
 
-    auto operator<=>(const StringId&) const = default;
+    // clang-tidy 14 takes the generated comparison with 0 for a null pointer.
+    auto operator<=>(const StringId&) const = default; // NOLINT(modernize-use-nullptr)
 
     friend std::ostream& operator<<(std::ostream& out, const StringId& id) { return out << id.value_; }
 
@@ -40,7 +41,7 @@
 template <typename Tag> struct NumberId {
     std::uint64_t value = 0;
 
-    auto operator<=>(const NumberId&) const = default;
+    auto operator<=>(const NumberId&) const = default; // NOLINT(modernize-use-nullptr)
     explicit operator bool() const { return value != 0; }
 
     friend std::ostream& operator<<(std::ostream& out, const NumberId& id) { return out << id.value; }
--- a/libs/home/include/home/home.h
+++ b/libs/home/include/home/home.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/authority.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "config/document.h"
@@ -16,26 +17,8 @@
 
 namespace banyancroft::home {
 
-/** How much of an upstream's limit this daemon may use at this moment. */
-enum class Share : std::uint8_t {
-    /** Not the home, or no authority: send nothing. */
-    None,
-    /** Neither lease nor promises: floor(limit/2) while warm, nothing while cold. */
-    UncertainHalf,
-    /** Took over from a home not known to have stopped: limit - floor(limit/2); the cold limit while cold. */
-    TakeoverRest,
-    Full,
-};
-
-struct Authority {
-    Share share = Share::None;
-    /** The authority ends by itself at this time; checked before each send. */
-    TimePoint validUntil {};
-    /** Requests that the previous home still had in flight, counted against the limit until `inheritedUntil`.
-     */
-    unsigned inheritedInFlight = 0;
-    TimePoint inheritedUntil {};
-};
+using banyancroft::Authority;
+using banyancroft::Share;
 
 /** An upstream that this home may have to drive, with all that its decisions need. */
 struct Target {
--- /dev/null
+++ b/libs/membership/src/membership.cpp
@@ -0,0 +1,749 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+
+namespace banyancroft::membership {
+
+Membership::Membership(Settings settings, TimePoint now)
+    : settings_(std::move(settings))
+    , lease_(settings_.lease)
+    , promises_(settings_.promise, settings_.deadlineMargin, now)
+{
+}
+
+Actions Membership::setUpstreams(std::span<const UpstreamId> upstreams, TimePoint now)
+{
+    Actions actions;
+    std::map<UpstreamId, Holding> next;
+    for (const UpstreamId& upstream : upstreams) {
+        auto known = upstreams_.extract(upstream);
+        if (known)
+            next.insert(std::move(known));
+        else
+            next.try_emplace(upstream);
+    }
+    for (const auto& [upstream, holding] : upstreams_) {
+        if (holding.reported.share != Share::None)
+            actions.emplace_back(AuthorityChanged { upstream, {} });
+    }
+    upstreams_ = std::move(next);
+    Actions more = advance(now);
+    actions.insert(actions.end(), more.begin(), more.end());
+    return actions;
+}
+
+Actions Membership::tick(TimePoint now) { return advance(now); }
+
+RequestId Membership::begin(Call& call, TimePoint now)
+{
+    call.request = { ++lastRequest_ };
+    call.started = now;
+    return call.request;
+}
+
+bool Membership::finish(Call& call, RequestId request)
+{
+    if (!call.pending() || call.request != request)
+        return false;
+    call.request = {};
+    return true;
+}
+
+void Membership::failed(Call& call, TimePoint now)
+{
+    call.notBefore = now + settings_.retryDelay;
+    storeFailed_ = true;
+}
+
+Actions Membership::leaseGranted(RequestId request, TimePoint now)
+{
+    if (finish(leaseCall_, request)) {
+        lease_.succeeded(leaseCall_.started);
+        leaseAcquired_ = now;
+        leaseReady_ = false;
+        written_.reset();
+        // The old record went with the old lease. One of an earlier run is found by the failing swap.
+        recordRevision_ = StoreRevision {};
+        nextRenewal_ = leaseCall_.started + settings_.renewEvery;
+        storeFailed_ = false;
+    }
+    return advance(now);
+}
+
+Actions Membership::leaseRenewed(RequestId request, TimePoint now)
+{
+    if (finish(leaseCall_, request)) {
+        lease_.succeeded(leaseCall_.started);
+        nextRenewal_ = leaseCall_.started + settings_.renewEvery;
+        storeFailed_ = false;
+    }
+    return advance(now);
+}
+
+Actions Membership::leaseLost(RequestId request, TimePoint now)
+{
+    if (finish(leaseCall_, request)) {
+        lease_.lost();
+        leaseReady_ = false;
+        written_.reset();
+        recordRevision_.reset();
+        storeFailed_ = false;
+    }
+    return advance(now);
+}
+
+Actions Membership::viewRead(
+    RequestId request, const std::optional<View>& view, StoreRevision modified, TimePoint now)
+{
+    if (!finish(viewCall_, request))
+        return advance(now);
+    storeFailed_ = false;
+    viewReadNeeded_ = false;
+    nextViewRead_ = now + settings_.renewEvery;
+    storeBehind_ = view_ && (!view || view->number < view_->number);
+    if (storeBehind_ || !view) {
+        viewRevision_ = view ? modified : StoreRevision {};
+    } else {
+        adopt(*view, modified);
+    }
+    // Only a read that began after the record was written sees every view whose writer may have missed the
+    // record; recordIsWritten forgets a read that began earlier.
+    if (written_ && !storeBehind_)
+        leaseReady_ = lease_.granted();
+    return advance(now);
+}
+
+Actions Membership::viewChanged(const View& view, StoreRevision modified, TimePoint now)
+{
+    adopt(view, modified);
+    return advance(now);
+}
+
+Actions Membership::viewLearned(const View& view, TimePoint now)
+{
+    adopt(view, std::nullopt);
+    return advance(now);
+}
+
+Actions Membership::swapped(RequestId request, std::optional<StoreRevision> revision, TimePoint now)
+{
+    if (finish(swapCall_, request)) {
+        storeFailed_ = false;
+        changeWantedSince_.reset();
+        if (revision) {
+            storeBehind_ = false;
+            releaseWanted_ = false;
+            adopt(swapping_, *revision);
+        } else {
+            viewReadNeeded_ = true;
+        }
+    }
+    return advance(now);
+}
+
+Actions Membership::recordWritten(RequestId request, std::optional<StoreRevision> revision, TimePoint now)
+{
+    if (finish(recordCall_, request)) {
+        storeFailed_ = false;
+        if (recordCall_.started < leaseAcquired_ || !lease_.granted()) {
+            recordRevision_.reset();
+        } else if (revision) {
+            recordIsWritten(writing_, *revision);
+        } else {
+            recordRevision_.reset();
+            nextListing_ = now;
+        }
+    }
+    return advance(now);
+}
+
+void Membership::recordIsWritten(const MemberRecord& record, StoreRevision revision)
+{
+    if (!written_) {
+        viewReadNeeded_ = true;
+        viewCall_.request = {};
+    }
+    written_ = record;
+    recordRevision_ = revision;
+}
+
+Actions Membership::membersListed(
+    RequestId request, std::span<const ListedRecord> records, StoreRevision revision, TimePoint now)
+{
+    if (!finish(listCall_, request))
+        return advance(now);
+    storeFailed_ = false;
+    records_.assign(records.begin(), records.end());
+    recordsRevision_ = revision;
+    recordsAreFresh_ = true;
+    noteRecords(now);
+    // After a lost reply the listing tells whether the record was written. A listing that began before the
+    // lease was acquired may show a record of the lease before it.
+    if (!recordRevision_ && !recordCall_.pending() && lease_.granted()
+        && listCall_.started >= leaseAcquired_) {
+        recordRevision_ = StoreRevision {};
+        for (const ListedRecord& listed : records_) {
+            if (listed.record.vm != settings_.vm)
+                continue;
+            recordRevision_ = listed.modified;
+            if (listed.record.incarnation == settings_.incarnation)
+                recordIsWritten(listed.record, listed.modified);
+        }
+    }
+    return advance(now);
+}
+
+Actions Membership::storeFailed(RequestId request, TimePoint now)
+{
+    if (finish(leaseCall_, request)) {
+        failed(leaseCall_, now);
+    } else if (finish(recordCall_, request)) {
+        failed(recordCall_, now);
+        recordRevision_.reset();
+        nextListing_ = now;
+    } else if (finish(viewCall_, request)) {
+        failed(viewCall_, now);
+    } else if (finish(swapCall_, request)) {
+        failed(swapCall_, now);
+        viewReadNeeded_ = true;
+    } else if (finish(listCall_, request)) {
+        failed(listCall_, now);
+    }
+    return advance(now);
+}
+
+Actions Membership::vmsListed(std::span<const VmId> vms, TimePoint now)
+{
+    const std::set<VmId> present(vms.begin(), vms.end());
+    std::set<VmId> missing;
+    auto note = [&](const VmId& vm) {
+        if (present.contains(vm))
+            return;
+        // The list may have been read before a VM joined, so the first list that lacks it proves nothing.
+        if (vmsSeen_.contains(vm) || vmsMissing_.contains(vm))
+            goneSince_.try_emplace(vm, now);
+        missing.insert(vm);
+    };
+    if (view_) {
+        for (const auto* members : { &view_->members, &view_->departing }) {
+            for (const Member& member : *members) {
+                if (member.listed || vmsSeen_.contains(member.vm))
+                    note(member.vm);
+            }
+        }
+        for (const VmId& vm : view_->settled) {
+            if (vmsSeen_.contains(vm) || vmsMissing_.contains(vm))
+                note(vm);
+        }
+    }
+    vmsMissing_ = std::move(missing);
+    vmsSeen_.insert(present.begin(), present.end());
+    std::erase_if(goneSince_, [&](const auto& gone) { return present.contains(gone.first); });
+    return advance(now);
+}
+
+Actions Membership::promiseRequested(
+    const VmId& from, ViewNumber view, std::uint64_t requestNumber, TimePoint now)
+{
+    Actions actions = advance(now);
+    // With the store at hand, or a newer view known, a promise would only delay the acknowledgement.
+    const bool newerKnown = view_ && view_->number > view;
+    if (storeFailing(now) && !newerKnown && acknowledgement_ <= view) {
+        promises_.give(view, now);
+        actions.emplace_back(GivePromise { from, view, requestNumber, settings_.promise });
+    }
+    return actions;
+}
+
+Actions Membership::promiseReceived(
+    const VmId& from, ViewNumber view, std::uint64_t requestNumber, Duration duration, TimePoint now)
+{
+    promises_.receive(from, view, requestNumber, duration);
+    return advance(now);
+}
+
+Actions Membership::inFlightReported(ViewNumber view, std::span<const InFlight> counts, TimePoint now)
+{
+    if (view == reportAsked_) {
+        reported_ = view;
+        inFlight_.assign(counts.begin(), counts.end());
+    }
+    return advance(now);
+}
+
+Actions Membership::release(TimePoint now)
+{
+    releaseWanted_ = true;
+    nextListing_ = now;
+    return advance(now);
+}
+
+Actions Membership::stop(TimePoint now)
+{
+    stopping_ = true;
+    nextListing_ = now;
+    return advance(now);
+}
+
+Authority Membership::authority(const UpstreamId& upstream) const
+{
+    auto known = upstreams_.find(upstream);
+    return known == upstreams_.end() ? Authority {} : known->second.reported;
+}
+
+bool Membership::storeFailing(TimePoint now) const
+{
+    if (storeFailed_)
+        return true;
+    const Call* calls[] = { &leaseCall_, &recordCall_, &viewCall_, &swapCall_, &listCall_ };
+    return std::any_of(std::begin(calls), std::end(calls),
+        [&](const Call* call) { return call->pending() && now - call->started > settings_.storePatience; });
+}
+
+bool Membership::active() const { return isMember() && !pendingUpstreams(); }
+
+bool Membership::watcher() const
+{
+    if (!view_)
+        return false;
+    const auto chosen = watchers(*view_);
+    return std::any_of(chosen.begin(), chosen.end(), [&](const Member* member) { return isSelf(*member); });
+}
+
+bool Membership::isSelf(const Member& member) const
+{
+    return member.vm == settings_.vm && member.incarnation == settings_.incarnation;
+}
+
+bool Membership::isMember() const
+{
+    return view_ && view_->find(settings_.vm, settings_.incarnation) != nullptr;
+}
+
+bool Membership::acknowledgedSelf() const
+{
+    return view_ && written_ && written_->acknowledged >= view_->number;
+}
+
+void Membership::adopt(const View& view, std::optional<StoreRevision> modified)
+{
+    if (view.zone != settings_.zone || (view_ && view.number < view_->number))
+        return;
+    if (view_ && view.number == view_->number) {
+        if (!modified || (viewRevision_ && *modified < *viewRevision_))
+            return;
+        view_ = view;
+        viewRevision_ = modified;
+        if (!barrierRevision_)
+            barrierRevision_ = modified;
+        return;
+    }
+    const ViewNumber previous = view_ ? view_->number : ViewNumber {};
+    view_ = view;
+    viewRevision_ = modified;
+    barrierRevision_ = modified;
+    lapsedSince_.clear();
+    acknowledgedSince_.clear();
+    changeWantedSince_.reset();
+    if (!modified)
+        viewReadNeeded_ = true;
+    dropLostUpstreams(previous);
+}
+
+void Membership::dropLostUpstreams(ViewNumber previous)
+{
+    // A member that was added and removed in between may have become home of any upstream, so only a daemon
+    // that missed no removal knows that it was the home all the time.
+    const bool missedRemoval = view_->lastRemoval.value > previous.value + 1;
+    for (auto& [upstream, holding] : upstreams_) {
+        const Member* home = homeOf(upstream, *view_);
+        if (home != nullptr && isSelf(*home) && !missedRemoval)
+            continue;
+        holding.held = false;
+        holding.holders.clear();
+    }
+}
+
+const MemberRecord* Membership::recordOf(const VmId& vm) const
+{
+    auto found = std::find_if(
+        records_.begin(), records_.end(), [&](const ListedRecord& listed) { return listed.record.vm == vm; });
+    return found == records_.end() ? nullptr : &found->record;
+}
+
+const MemberRecord* Membership::recordOf(const Member& member) const
+{
+    const MemberRecord* record = recordOf(member.vm);
+    return record != nullptr && record->incarnation == member.incarnation ? record : nullptr;
+}
+
+bool Membership::acknowledged(const Member& member, ViewNumber number) const
+{
+    const MemberRecord* record = recordOf(member);
+    return record != nullptr && record->acknowledged >= number;
+}
+
+void Membership::noteRecords(TimePoint now)
+{
+    if (!view_)
+        return;
+    const bool afterTheSwap = barrierRevision_ && recordsRevision_ >= *barrierRevision_;
+    for (const auto* members : { &view_->members, &view_->departing }) {
+        for (const Member& member : *members) {
+            if (isSelf(member))
+                continue;
+            const Run run { member.vm, member.incarnation };
+            const MemberRecord* record = recordOf(member.vm);
+            if (record != nullptr && record->incarnation == member.incarnation) {
+                lapsedSince_.erase(run);
+                if (record->acknowledged >= view_->number)
+                    acknowledgedSince_.try_emplace(run, now);
+                continue;
+            }
+            if (record != nullptr)
+                replacedSince_.try_emplace(run, now);
+            if (afterTheSwap)
+                lapsedSince_.try_emplace(run, now);
+        }
+    }
+}
+
+bool Membership::lapsed(const Member& member, TimePoint now) const
+{
+    auto since = lapsedSince_.find({ member.vm, member.incarnation });
+    return since != lapsedSince_.end() && now >= since->second + plusClockMargin(settings_.deadlineMargin);
+}
+
+bool Membership::knownGone(const VmId& vm, Duration wait, TimePoint now) const
+{
+    auto gone = goneSince_.find(vm);
+    return gone != goneSince_.end() && now >= gone->second + plusClockMargin(wait);
+}
+
+bool Membership::knownStopped(const Run& run, TimePoint now) const
+{
+    // What the run sent just before it stopped may still be in flight.
+    auto replaced = replacedSince_.find(run);
+    if (replaced != replacedSince_.end()
+        && now >= replaced->second + plusClockMargin(settings_.deadlineMargin))
+        return true;
+    return knownGone(run.first, settings_.deadlineMargin, now);
+}
+
+bool Membership::settledAcknowledged() const
+{
+    if (view_->settled.empty())
+        return true;
+    return std::any_of(view_->settled.begin(), view_->settled.end(), [&](const VmId& vm) {
+        if (vm == settings_.vm)
+            return acknowledgedSelf();
+        const MemberRecord* record = recordOf(vm);
+        return record != nullptr && record->acknowledged >= view_->number;
+    });
+}
+
+bool Membership::barrierMet(TimePoint now) const
+{
+    if (!acknowledgedSelf() || !settledAcknowledged())
+        return false;
+    auto met = [&](const Member& member) {
+        return isSelf(member) || acknowledged(member, view_->number) || lapsed(member, now);
+    };
+    return std::all_of(view_->members.begin(), view_->members.end(), met)
+        && std::all_of(view_->departing.begin(), view_->departing.end(), met);
+}
+
+bool Membership::couldHaveHeld(const Member& member, const UpstreamId& upstream) const
+{
+    // A member that was in every view of this run and outranks it was preferred to it all the time.
+    const std::uint64_t own = weight(member.vm, upstream.view());
+    return std::none_of(view_->members.begin(), view_->members.end(), [&](const Member& other) {
+        return other.vm != member.vm && other.joined <= member.joined
+            && weight(other.vm, upstream.view()) > own;
+    });
+}
+
+unsigned Membership::reportedInFlight(const UpstreamId& upstream) const
+{
+    unsigned sum = 0;
+    for (const ListedRecord& listed : records_) {
+        if (listed.record.vm == settings_.vm && listed.record.incarnation == settings_.incarnation)
+            continue;
+        for (const InFlight& entry : listed.record.inFlight) {
+            if (entry.upstream == upstream)
+                sum += entry.count;
+        }
+    }
+    return sum;
+}
+
+bool Membership::pendingUpstreams() const
+{
+    return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
+        const Member* home = entry.second.held ? nullptr : homeOf(entry.first, *view_);
+        return home != nullptr && isSelf(*home);
+    });
+}
+
+void Membership::activate(TimePoint now)
+{
+    if (!isMember() || !leaseValid(now) || !pendingUpstreams() || !barrierMet(now))
+        return;
+    for (auto& [upstream, holding] : upstreams_) {
+        const Member* home = homeOf(upstream, *view_);
+        if (holding.held || home == nullptr || !isSelf(*home))
+            continue;
+        holding.held = true;
+        holding.since = view_->number;
+        holding.holders.clear();
+        for (const auto* members : { &view_->members, &view_->departing }) {
+            for (const Member& member : *members) {
+                if (!isSelf(member) && !acknowledged(member, view_->number)
+                    && couldHaveHeld(member, upstream))
+                    holding.holders.emplace(member.vm, member.incarnation);
+            }
+        }
+        holding.inherited
+            = reportedInFlight(upstream) + (now < holding.inheritedUntil ? holding.inherited : 0);
+        holding.inheritedUntil = now + plusClockMargin(settings_.deadlineMargin);
+    }
+}
+
+void Membership::refreshHolders(TimePoint now)
+{
+    for (auto& [upstream, holding] : upstreams_) {
+        for (auto holder = holding.holders.begin(); holder != holding.holders.end();) {
+            Member member;
+            std::tie(member.vm, member.incarnation) = *holder;
+            const bool inView = view_->find(member.vm, member.incarnation) != nullptr
+                || view_->findDeparting(member.vm, member.incarnation) != nullptr;
+            const bool yielded = acknowledged(member, holding.since);
+            if (yielded) {
+                holding.inherited
+                    = reportedInFlight(upstream) + (now < holding.inheritedUntil ? holding.inherited : 0);
+                holding.inheritedUntil = now + plusClockMargin(settings_.deadlineMargin);
+            }
+            if (yielded || !inView || knownStopped(*holder, now)) {
+                holder = holding.holders.erase(holder);
+            } else {
+                ++holder;
+            }
+        }
+    }
+}
+
+std::vector<VmId> Membership::promisers() const
+{
+    std::set<VmId> vms(view_->settled.begin(), view_->settled.end());
+    for (const Member& member : view_->members)
+        vms.insert(member.vm);
+    vms.erase(settings_.vm);
+    return { vms.begin(), vms.end() };
+}
+
+Authority Membership::decide(const Holding& holding, TimePoint now) const
+{
+    Authority authority;
+    if (!holding.held || holding.holders.size() > 1)
+        return authority;
+    if (now < holding.inheritedUntil && holding.inherited > 0) {
+        authority.inheritedInFlight = holding.inherited;
+        authority.inheritedUntil = holding.inheritedUntil;
+    }
+    const Share whole = holding.holders.empty() ? Share::Full : Share::TakeoverRest;
+    TimePoint until {};
+    if (leaseValid(now))
+        until = lease_.validUntil();
+    // Without a settled view nothing keeps a group of joiners from activating a later view.
+    if (!view_->settled.empty() && storeFailing(now))
+        until = std::max(until, promises_.heldUntil(promisers(), view_->number));
+    if (now < until) {
+        authority.share = whole;
+        authority.validUntil = until;
+    } else {
+        authority.share = Share::UncertainHalf;
+        authority.validUntil = TimePoint::max();
+    }
+    return authority;
+}
+
+Actions Membership::advance(TimePoint now)
+{
+    Actions actions;
+    promises_.expire(now);
+    if (view_) {
+        refreshHolders(now);
+        activate(now);
+    }
+    advanceAuthority(now, actions);
+    advanceLease(now, actions);
+    advanceAcknowledgement(now, actions);
+    advanceRecord(now, actions);
+    advanceView(now, actions);
+    advanceReads(now, actions);
+    advancePromises(now, actions);
+    advanceStop(actions);
+    return actions;
+}
+
+void Membership::advanceAuthority(TimePoint now, Actions& actions)
+{
+    for (auto& [upstream, holding] : upstreams_) {
+        const Authority authority = view_ ? decide(holding, now) : Authority {};
+        if (authority == holding.reported)
+            continue;
+        holding.reported = authority;
+        actions.emplace_back(AuthorityChanged { upstream, authority });
+    }
+}
+
+void Membership::advanceLease(TimePoint now, Actions& actions)
+{
+    if (!ready(leaseCall_, now))
+        return;
+    if (!lease_.granted()) {
+        actions.emplace_back(AcquireLease { begin(leaseCall_, now) });
+    } else if (now >= nextRenewal_) {
+        actions.emplace_back(RenewLease { begin(leaseCall_, now) });
+    }
+}
+
+void Membership::advanceAcknowledgement(TimePoint now, Actions& actions)
+{
+    if (!view_ || acknowledgement_ >= view_->number)
+        return;
+    if (reportAsked_ < view_->number) {
+        reportAsked_ = view_->number;
+        actions.emplace_back(ReportInFlight { reportAsked_ });
+    }
+    if (reported_ == view_->number && promises_.mayAcknowledge(view_->number, now))
+        acknowledgement_ = view_->number;
+}
+
+void Membership::advanceRecord(TimePoint now, Actions& actions)
+{
+    if (!lease_.granted() || !recordRevision_ || !ready(recordCall_, now))
+        return;
+    MemberRecord record;
+    record.vm = settings_.vm;
+    record.incarnation = settings_.incarnation;
+    record.address = settings_.address;
+    record.acknowledged = acknowledgement_;
+    record.intent = stopping_ ? Intent::Leave : Intent::Join;
+    record.listed = vmsSeen_.contains(settings_.vm);
+    if (written_ && written_->acknowledged == acknowledgement_) {
+        record.inFlight = written_->inFlight;
+    } else {
+        std::map<UpstreamId, unsigned> counts;
+        for (const InFlight& entry : inFlight_)
+            counts[entry.upstream] += entry.count;
+        for (const auto& [upstream, holding] : upstreams_) {
+            if (now < holding.inheritedUntil && holding.inherited > 0)
+                counts[upstream] += holding.inherited;
+        }
+        for (const auto& [upstream, count] : counts)
+            record.inFlight.push_back({ upstream, count });
+    }
+    if (written_ && *written_ == record)
+        return;
+    writing_ = record;
+    actions.emplace_back(WriteRecord { begin(recordCall_, now), *recordRevision_, std::move(record) });
+}
+
+Duration Membership::listingPeriod() const
+{
+    if (!view_)
+        return settings_.lease;
+    if (isMember() && pendingUpstreams())
+        return settings_.barrierPoll;
+    constexpr std::size_t maintainers = 2;
+    if (changeWantedSince_ || stopping_ || releaseWanted_ || !isMember() || maintenanceRank() < maintainers)
+        return settings_.maintenancePoll;
+    return settings_.lease;
+}
+
+void Membership::advanceReads(TimePoint now, Actions& actions)
+{
+    if (ready(viewCall_, now) && lease_.granted() && (viewReadNeeded_ || now >= nextViewRead_))
+        actions.emplace_back(ReadView { begin(viewCall_, now) });
+    nextListing_ = std::min(nextListing_, now + listingPeriod());
+    if (ready(listCall_, now) && lease_.granted() && now >= nextListing_) {
+        nextListing_ = now + listingPeriod();
+        actions.emplace_back(ListMembers { begin(listCall_, now) });
+    }
+}
+
+std::size_t Membership::maintenanceRank() const
+{
+    // A daemon outside the view acts after the maintainers have had their turn.
+    constexpr std::size_t outsideRank = 2;
+    std::size_t rank = 0;
+    for (const Member* member : maintenanceOrder(*view_)) {
+        if (isSelf(*member))
+            return rank;
+        if (recordOf(*member) != nullptr)
+            ++rank;
+    }
+    return std::min(rank, outsideRank);
+}
+
+void Membership::advanceView(TimePoint now, Actions& actions)
+{
+    if (!leaseReady_ && !storeBehind_)
+        return;
+    if (!lease_.valid(now) || !viewRevision_ || !ready(swapCall_, now) || viewCall_.pending())
+        return;
+    if (view_ && !storeBehind_ && !recordsAreFresh_)
+        return;
+    recordsAreFresh_ = false;
+    auto next = wantedView(now);
+    if (!next) {
+        changeWantedSince_.reset();
+        return;
+    }
+    if (!changeWantedSince_)
+        changeWantedSince_ = now;
+    const bool own = !view_ || releaseWanted_ || (stopping_ && isMember());
+    const Duration wait
+        = own ? Duration {} : settings_.maintenanceDelay * static_cast<int>(maintenanceRank());
+    if (now < *changeWantedSince_ + wait)
+        return;
+    swapping_ = std::move(*next);
+    actions.emplace_back(SwapView { begin(swapCall_, now), *viewRevision_, swapping_ });
+}
+
+void Membership::advancePromises(TimePoint now, Actions& actions)
+{
+    const bool holds = std::any_of(
+        upstreams_.begin(), upstreams_.end(), [](const auto& entry) { return entry.second.held; });
+    if (!holds || !storeFailing(now) || now < nextAsking_)
+        return;
+    constexpr int askingsPerPromise = 3;
+    nextAsking_ = now + settings_.promise / askingsPerPromise;
+    for (const VmId& vm : promisers()) {
+        const Member* member = view_->find(vm);
+        if (member == nullptr) {
+            auto departing = std::find_if(view_->departing.begin(), view_->departing.end(),
+                [&](const Member& candidate) { return candidate.vm == vm; });
+            if (departing == view_->departing.end())
+                continue;
+            member = &*departing;
+        }
+        actions.emplace_back(AskPromise { vm, member->address, view_->number, promises_.ask(now) });
+    }
+}
+
+void Membership::advanceStop(Actions& actions)
+{
+    if (!stopping_ || handOverReported_)
+        return;
+    if (view_ && (isMember() || !acknowledgedSelf()))
+        return;
+    // The last member also clears the settled view, so that the next joiner need not prove its stop.
+    if (view_ && view_->members.empty() && !view_->settled.empty())
+        return;
+    handOverReported_ = true;
+    actions.emplace_back(HandOverDone {});
+}
+
+} // namespace banyancroft::membership
--- /dev/null
+++ b/libs/membership/src/rendezvous.cpp
@@ -0,0 +1,71 @@
+#include "membership/view.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace banyancroft::membership {
+
+namespace {
+
+struct Weighted {
+    std::uint64_t weight = 0;
+    const Member* member = nullptr;
+
+    bool operator>(const Weighted& other) const
+    {
+        // Equal weights are decided by name, so that every daemon decides alike.
+        return weight != other.weight ? weight > other.weight : member->vm < other.member->vm;
+    }
+};
+
+std::vector<const Member*> ordered(std::string_view name, const View& view, std::size_t count)
+{
+    std::vector<Weighted> weighted;
+    weighted.reserve(view.members.size());
+    for (const Member& member : view.members)
+        weighted.push_back({ weight(member.vm, name), &member });
+    count = std::min(count, weighted.size());
+    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(count), weighted.end(),
+        std::greater<> {});
+    std::vector<const Member*> result;
+    result.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
+        result.push_back(weighted[i].member);
+    return result;
+}
+
+} // namespace
+
+std::uint64_t weight(const VmId& vm, std::string_view name)
+{
+    return XXH3_64bits_withSeed(name.data(), name.size(), XXH3_64bits(vm.view().data(), vm.view().size()));
+}
+
+const Member* homeOf(const UpstreamId& upstream, const View& view)
+{
+    Weighted best;
+    for (const Member& member : view.members) {
+        const Weighted candidate { weight(member.vm, upstream.view()), &member };
+        if (best.member == nullptr || candidate > best)
+            best = candidate;
+    }
+    return best.member;
+}
+
+std::vector<const Member*> successors(const UpstreamId& upstream, const View& view, std::size_t count)
+{
+    return ordered(upstream.view(), view, count);
+}
+
+std::vector<const Member*> maintenanceOrder(const View& view)
+{
+    return ordered(view.zone.view(), view, view.members.size());
+}
+
+std::vector<const Member*> watchers(const View& view)
+{
+    constexpr std::size_t watchersPerZone = 2;
+    return ordered(view.zone.view(), view, watchersPerZone);
+}
+
+} // namespace banyancroft::membership
