--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -17,10 +17,11 @@
     std::map<UpstreamId, Holding> next;
     for (const UpstreamId& upstream : upstreams) {
         auto known = upstreams_.extract(upstream);
-        if (known)
+        if (known) {
             next.insert(std::move(known));
-        else
+        } else {
             next.try_emplace(upstream);
+        }
     }
     for (const auto& [upstream, holding] : upstreams_) {
         if (holding.reported.share != Share::None)
--- a/libs/membership/src/promise_tracker.cpp
+++ b/libs/membership/src/promise_tracker.cpp
@@ -18,10 +18,11 @@
     const TimePoint until = now + plusClockMargin(length_ + margin_);
     auto same
         = std::find_if(given_.begin(), given_.end(), [&](const Given& given) { return given.view == view; });
-    if (same == given_.end())
+    if (same == given_.end()) {
         given_.push_back({ view, until });
-    else
+    } else {
         same->until = std::max(same->until, until);
+    }
 }
 
 bool PromiseTracker::mayAcknowledge(ViewNumber view, TimePoint now) const
