--- a/libs/config/include/config/document.h
+++ b/libs/config/include/config/document.h
@@ -15,6 +15,8 @@
     RegionId region;
     /** False after `take out zone`: the zone receives no new work. */
     bool serving = true;
+
+    bool operator==(const Zone&) const = default;
 };
 
 /** One upstream process: a replica of a shard group. */
@@ -26,6 +28,8 @@
     AvailabilityZone zone;
     /** True after `drain upstream`: it receives no new work. */
     bool draining = false;
+
+    bool operator==(const Upstream&) const = default;
 };
 
 /** Upstreams that hold the same shards. A pool of equal upstreams is one group with one shard. */
@@ -33,6 +37,8 @@
     GroupId id;
     std::vector<ShardId> shards;
     std::vector<Upstream> upstreams;
+
+    bool operator==(const ShardGroup&) const = default;
 };
 
 /** What each upstream of a service bears. */
@@ -47,13 +53,17 @@
     /** Time that a new connection takes. */
     Duration connectTime = std::chrono::milliseconds(1);
     std::vector<ShardGroup> groups;
+
+    bool operator==(const Service&) const = default;
 };
 
 /** Shard groups that form a searchable whole. */
 struct Collection {
     std::string name;
-    /** All groups of these services belong to the collection. */
+    /** All groups of these services belong to the collection, and no other. */
     std::vector<ServiceId> services;
+
+    bool operator==(const Collection&) const = default;
 };
 
 /** A request other than a search, run by one upstream of a service. */
@@ -62,6 +72,8 @@
     ServiceId service;
     /** True: at most once, needs an idempotency key. */
     bool nonIdempotent = true;
+
+    bool operator==(const Operation&) const = default;
 };
 
 /** How long to wait for missing shards and how much additional load to spend. */
@@ -83,6 +95,8 @@
     unsigned queueLimit = 256;
     /** Completed answers that raise the limit of a cold upstream by one. */
     unsigned warmupAnswersPerStep = 8;
+
+    bool operator==(const Policy&) const = default;
 };
 
 /** The configuration of a deployment. Only the version decides which of two documents is newer. */
@@ -99,6 +113,8 @@
     std::vector<Service> services;
     std::vector<Collection> collections;
     std::vector<Operation> operations;
+
+    bool operator==(const Document&) const = default;
 };
 
 } // namespace banyancroft::config
