Add the admission and home libraries

The daemon needs something that holds the connections to upstreams and decides when work may be sent to them.

admission: ColdStartGuard, earliest-deadline-first queue, slot limit and share rules, pure. home: HTTP/1.1 connections with a read always pending, one connection kept for cancellation and health polls, deadlines, typed outcomes. Share and Authority move from home.h to admission/authority.h (home.h keeps aliases); Authority gains the reason given while the share is None.

One search against an in-test server passes; the failure cases are still to be tested.

--- /dev/null
+++ b/libs/admission/src/cold_start_guard.cpp
@@ -0,0 +1,116 @@
+#include "admission/cold_start_guard.h"
+
+#include <algorithm>
+
+namespace banyancroft::admission {
+
+namespace {
+
+/** Weight of one answer in the recent and in the usual latency. */
+constexpr double recentWeight = 1.0 / 8;
+constexpr double usualWeight = 1.0 / 128;
+/** Recent latency that counts as high, in multiples of the usual one; 2 is above the spread of a warm
+ * upstream's running average and below the slowdown of a cold one. */
+constexpr double highLatencyFactor = 2.0;
+
+} // namespace
+
+ColdStartGuard::ColdStartGuard(const DeclaredLimits& declared) { declare(declared); }
+
+void ColdStartGuard::declare(const DeclaredLimits& declared)
+{
+    declared_ = declared;
+    declared_.slots = std::max(1U, declared.slots);
+    declared_.coldLimit = std::clamp(declared.coldLimit, 1U, declared_.slots);
+    declared_.answersPerStep = std::max(1U, declared.answersPerStep);
+    limit_ = std::min(limit_, declared_.slots);
+    if (cold_)
+        cap();
+}
+
+void ColdStartGuard::cap()
+{
+    if (!cold_)
+        ++coldStarts_;
+    cold_ = true;
+    limit_ = declared_.coldLimit;
+    answersInStep_ = 0;
+}
+
+void ColdStartGuard::evidence(ColdEvidence /*evidence*/) { cap(); }
+
+bool ColdStartGuard::isSuperseded(std::string_view boot) const
+{
+    return std::find(superseded_.begin(), superseded_.end(), boot) != superseded_.end();
+}
+
+void ColdStartGuard::learnBoot(std::string_view boot)
+{
+    const bool first = boot_.empty();
+    if (!first) {
+        superseded_.at(nextSuperseded_) = boot_;
+        nextSuperseded_ = (nextSuperseded_ + 1) % rememberedBoots;
+    }
+    boot_ = boot;
+    ++bootGeneration_;
+    if (first)
+        return;
+    if (cold_)
+        ++coldStarts_;
+    cap();
+    recentLatency_ = 0;
+    usualLatency_ = 0;
+}
+
+void ColdStartGuard::observeLatency(Duration latency)
+{
+    const auto sample = static_cast<double>(latency.count());
+    recentLatency_ = recentLatency_ == 0 ? sample : recentLatency_ + recentWeight * (sample - recentLatency_);
+    if (!cold_)
+        usualLatency_ = usualLatency_ == 0 ? sample : usualLatency_ + usualWeight * (sample - usualLatency_);
+}
+
+bool ColdStartGuard::latencyIsHigh() const
+{
+    return usualLatency_ > 0 && recentLatency_ > highLatencyFactor * usualLatency_;
+}
+
+void ColdStartGuard::answered(const UpstreamAnswer& answer)
+{
+    if (!answer.boot.empty() && answer.boot != boot_) {
+        // A late reply of a process that has ended says nothing about the present one.
+        if (isSuperseded(answer.boot))
+            return;
+        learnBoot(answer.boot);
+    }
+    if (answer.cold || (answer.shed && latencyIsHigh())) {
+        cap();
+        return;
+    }
+    if (!answer.completed)
+        return;
+    observeLatency(answer.latency);
+    // Without a boot id the answer may come from another process than the one that the limit is for.
+    if (answer.boot.empty() || ++answersInStep_ < declared_.answersPerStep)
+        return;
+    answersInStep_ = 0;
+    limit_ = std::min(limit_ + 1, declared_.slots);
+    if (limit_ == declared_.slots)
+        cold_ = false;
+}
+
+void ColdStartGuard::reported(const HealthReport& report)
+{
+    const bool otherBoot = !report.boot.empty() && !boot_.empty() && report.boot != boot_;
+    // A report that lags behind a restart describes the earlier process.
+    if (otherBoot && isSuperseded(report.boot))
+        return;
+    if (report.cold || otherBoot)
+        cap();
+    if (report.slots > 0 && report.slots < limit_) {
+        limit_ = report.slots;
+        answersInStep_ = 0;
+    }
+}
+
+} // namespace banyancroft::admission
--- a/libs/home/include/home/home.h
+++ b/libs/home/include/home/home.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/authority.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "config/document.h"
@@ -16,26 +17,8 @@
 
 namespace banyancroft::home {
 
-/** How much of an upstream's limit this daemon may use at this moment. */
-enum class Share : std::uint8_t {
-    /** Not the home, or no authority: send nothing. */
-    None,
-    /** Neither lease nor promises: floor(limit/2) while warm, nothing while cold. */
-    UncertainHalf,
-    /** Took over from a home not known to have stopped: limit - floor(limit/2); the cold limit while cold. */
-    TakeoverRest,
-    Full,
-};
-
-struct Authority {
-    Share share = Share::None;
-    /** The authority ends by itself at this time; checked before each send. */
-    TimePoint validUntil {};
-    /** Requests that the previous home still had in flight, counted against the limit until `inheritedUntil`.
-     */
-    unsigned inheritedInFlight = 0;
-    TimePoint inheritedUntil {};
-};
+using admission::Authority;
+using admission::Share;
 
 /** An upstream that this home may have to drive, with all that its decisions need. */
 struct Target {
@@ -78,8 +61,9 @@
  *     home.search(batch, origin, now, [](wire::SubreplyBatch reply) { … });
  *
  * Owned by a traffic thread and called only on it; callbacks run on it too. Each item of a batch gets
- * exactly one SubreplyItem through the callback unless it was cancelled; replies that become ready
- * together may share one SubreplyBatch.
+ * exactly one SubreplyItem through the callback, unless it was cancelled before it was sent; an item that
+ * was cancelled later is answered with Outcome::Unknown and Reason::Cancelled at once. Replies that become
+ * ready together may share one SubreplyBatch. The callback is never run from within search() or submit().
  */
 class Home {
 public:
@@ -98,8 +82,10 @@
     /** Replaces the authority of one upstream; cheap, called on each renewal. */
     void setAuthority(const UpstreamId& upstream, const Authority& authority);
 
+    /** Deadlines count from `now`, the time at which the message was read. */
     void search(wire::SubrequestBatch batch, Origin origin, TimePoint now, ReplyHandler onReply);
     void submit(wire::SubmitRequest request, Origin origin, TimePoint now, ReplyHandler onReply);
+    /** A submit that was sent is not cancelled, since its outcome has to be learned. */
     void cancel(const wire::Cancel& cancel, Origin origin, TimePoint now);
 
     /** Requests sent to the upstream and not yet answered; reported at a hand-over. */
