--- a/libs/base/include/base/authority.h
+++ b/libs/base/include/base/authority.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/outcome.h"
 #include "base/time.h"
 
 #include <cstdint>
@@ -26,6 +27,8 @@
      */
     unsigned inheritedInFlight = 0;
     TimePoint inheritedUntil {};
+    /** Why work is refused while the share is None; WrongHome when another daemon is the home. */
+    Reason refusal = Reason::NoAuthority;
 
     bool operator==(const Authority&) const = default;
 };
--- a/libs/home/include/home/home.h
+++ b/libs/home/include/home/home.h
@@ -61,8 +61,9 @@
  *     home.search(batch, origin, now, [](wire::SubreplyBatch reply) { … });
  *
  * Owned by a traffic thread and called only on it; callbacks run on it too. Each item of a batch gets
- * exactly one SubreplyItem through the callback unless it was cancelled; replies that become ready
- * together may share one SubreplyBatch.
+ * exactly one SubreplyItem through the callback, unless it was cancelled before it was sent; an item that
+ * was cancelled later is answered with Outcome::Unknown and Reason::Cancelled at once. Replies that become
+ * ready together may share one SubreplyBatch. The callback is never run from within search() or submit().
  */
 class Home {
 public:
@@ -81,8 +82,10 @@
     /** Replaces the authority of one upstream; cheap, called on each renewal. */
     void setAuthority(const UpstreamId& upstream, const Authority& authority);
 
+    /** Deadlines count from `now`, the time at which the message was read. */
     void search(wire::SubrequestBatch batch, Origin origin, TimePoint now, ReplyHandler onReply);
     void submit(wire::SubmitRequest request, Origin origin, TimePoint now, ReplyHandler onReply);
+    /** A submit that was sent is not cancelled, since its outcome has to be learned. */
     void cancel(const wire::Cancel& cancel, Origin origin, TimePoint now);
 
     /** Requests sent to the upstream and not yet answered; reported at a hand-over. */
