--- /dev/null
+++ b/libs/platform/include/platform/base64.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace banyancroft::platform {
+
+/** Base64 with padding (RFC 4648, section 4). */
+std::string encodeBase64(std::string_view bytes);
+/** Empty when the text is no padded base64. */
+std::optional<std::string> decodeBase64(std::string_view text);
+
+} // namespace banyancroft::platform
