Add the daemon: entry, home, membership and configuration in one process

Cause: the thin path needs the parts joined in a process: HTTP, entry, peer messages, home, upstream, and the control thread with its store.

--- /dev/null
+++ b/libs/daemon/include/daemon/daemon.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/error.h"
+#include "daemon/settings.h"
+
+#include <memory>
+#include <string>
+
+namespace banyancroft::daemon {
+
+/** Addresses that the daemon listens on, as IP:port. */
+struct BoundAddresses {
+    std::string http;
+    std::string peer;
+};
+
+/**
+ * One banyancroft daemon: entry and home on the traffic threads, membership and configuration on the
+ * control thread.
+ *
+ *     Daemon daemon(settings);
+ *     Error reason;
+ *     auto bound = daemon.start(reason);
+ *     if (!bound)
+ *         fail(reason);
+ *     return daemon.run();
+ *
+ * Constructed, started and destroyed by one thread.
+ */
+class Daemon {
+public:
+    explicit Daemon(Settings settings);
+    ~Daemon();
+    Daemon(const Daemon&) = delete;
+    Daemon& operator=(const Daemon&) = delete;
+
+    /** Binds the addresses and starts the traffic threads; empty with a reason when an address cannot be
+     * bound. */
+    std::optional<BoundAddresses> start(Error& reason);
+
+    /**
+     * Runs the control thread's work on the calling thread until a planned stop is complete.
+     * SIGTERM and SIGINT begin the stop; a second one, or the end of the stop limit, cuts what still runs.
+     * @return 0 when nothing was cut, 1 otherwise
+     */
+    int run();
+
+    /** Begins a planned stop, as SIGTERM does. Thread-safe. */
+    void requestStop();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace banyancroft::daemon
--- /dev/null
+++ b/libs/daemon/src/control.cpp
@@ -0,0 +1,388 @@
+#include "control.h"
+
+#include "telemetry/log.h"
+
+#include <algorithm>
+
+namespace banyancroft::daemon {
+
+namespace {
+
+using telemetry::log;
+using telemetry::LogLevel;
+
+// Membership asks to be called at least this often.
+constexpr std::chrono::milliseconds tickPeriod { 100 };
+constexpr std::chrono::seconds vmListPeriod { 2 };
+// A member that hears from no watcher for this many heartbeats asks a peer by itself.
+constexpr int silentHeartbeats = 4;
+// Safety net should both watchers of a zone hang: 560 daemons make 56 reads a second of it.
+constexpr std::chrono::seconds slowReadPeriod { 10 };
+constexpr Duration storeDeadline = std::chrono::seconds(1);
+
+platform::EtcdStore::Options storeOptions(const Settings& settings)
+{
+    platform::EtcdStore::Options options;
+    const auto endpoint = parseEndpoint(settings.store);
+    options.address = endpoint->address().to_string();
+    options.port = endpoint->port();
+    options.localAddress = settings.storeSource;
+    options.clientName = settings.vm.str();
+    options.deadline = storeDeadline;
+    return options;
+}
+
+membership::Settings membershipSettings(
+    const Settings& settings, Incarnation incarnation, const std::string& address)
+{
+    membership::Settings result;
+    result.zone = settings.zone;
+    result.vm = settings.vm;
+    result.incarnation = incarnation;
+    result.address = address;
+    result.lease = settings.lease;
+    result.renewEvery = settings.lease / 3;
+    result.promise = settings.promise;
+    return result;
+}
+
+claims::Claims::Hooks claimHooks(boost::asio::io_context& ioContext, std::mt19937_64& random)
+{
+    return { [] { return BootClock::now(); },
+        [&ioContext](Duration delay, std::function<void()> function) {
+            auto timer = std::make_shared<boost::asio::steady_timer>(ioContext, delay);
+            timer->async_wait([timer, function = std::move(function)](const boost::system::error_code& code) {
+                if (!code)
+                    function();
+            });
+        },
+        [&random] { return random(); } };
+}
+
+} // namespace
+
+Control::Control(boost::asio::io_context& ioContext, const Settings& settings, Incarnation incarnation,
+    std::string ownAddress, Hooks hooks)
+    : ioContext_(ioContext)
+    , settings_(settings)
+    , ownAddress_(std::move(ownAddress))
+    , hooks_(std::move(hooks))
+    , random_(incarnation.value)
+    , store_(ioContext, storeOptions(settings))
+    , network_(ioContext, { settings.vm, incarnation, settings.zone, {}, true },
+          { [this](const std::string& address, wire::Message message) {
+               onMessage({}, std::move(message),
+                   [this, address](wire::Message reply) { network_.send(address, std::move(reply)); });
+           },
+              [](const std::string&, bool) {} })
+    , members_(store_, membershipSettings(settings, incarnation, ownAddress_),
+          { [] { return BootClock::now(); }, hooks_.onAuthority, hooks_.collectInFlight,
+              [this](const std::string& address, wire::Message message) {
+                  network_.send(address, std::move(message));
+              },
+              [this] { routingChanged_ = true; }, hooks_.onHandOverDone })
+    , configuration_(store_, ioContext,
+          [this](std::shared_ptr<const config::Document> document) { onDocument(std::move(document)); })
+    , claims_(store_, std::string(storePrefix) + "claims/", claimHooks(ioContext, random_))
+    , tickTimer_(ioContext)
+    , heartbeatTimer_(ioContext)
+    , vmTimer_(ioContext)
+{
+}
+
+Control::~Control() { *alive_ = false; }
+
+void Control::start()
+{
+    readStore();
+    for (const auto& seed : settings_.seeds)
+        askForState(seed);
+    scheduleTick();
+    scheduleHeartbeat();
+    scheduleVmList();
+}
+
+void Control::stop() { members_.run(members_.membership().stop(BootClock::now())); }
+
+void Control::scheduleTick()
+{
+    tickTimer_.expires_after(tickPeriod);
+    tickTimer_.async_wait([this, alive = alive_](const boost::system::error_code& code) {
+        if (code || !*alive)
+            return;
+        tick();
+        scheduleTick();
+    });
+}
+
+void Control::tick()
+{
+    members_.run(members_.membership().tick(BootClock::now()));
+    // One rebuild per tick at most, however many views changed meanwhile.
+    if (std::exchange(routingChanged_, false))
+        rebuildRouting();
+    // Until it is a member, a daemon has no watcher to rely on and watches by itself.
+    const auto* view = members_.membership().view();
+    const bool isMember = view && view->find(settings_.vm);
+    if (!isMember || members_.membership().watcher())
+        watchStore();
+}
+
+void Control::scheduleHeartbeat()
+{
+    // Jitter keeps the digests of a zone's daemons from arriving together.
+    std::uniform_real_distribution<double> jitter(0.8, 1.2);
+    const auto period = std::chrono::duration_cast<Duration>(settings_.heartbeat * jitter(random_));
+    heartbeatTimer_.expires_after(period);
+    heartbeatTimer_.async_wait([this, alive = alive_](const boost::system::error_code& code) {
+        if (code || !*alive)
+            return;
+        heartbeat();
+        scheduleHeartbeat();
+    });
+}
+
+void Control::heartbeat()
+{
+    const TimePoint now = BootClock::now();
+    const auto* own = members_.membership().view();
+    if (members_.membership().watcher()) {
+        for (const auto& member : own->members) {
+            if (member.address != ownAddress_)
+                network_.send(member.address, digest());
+        }
+        for (const auto* view : members_.views().all()) {
+            if (view->zone == settings_.zone || view->members.empty())
+                continue;
+            std::uniform_int_distribution<std::size_t> pick(0, view->members.size() - 1);
+            network_.send(view->members[pick(random_)].address, digest());
+        }
+        return;
+    }
+    if (document_ && now - lastDigest_ < settings_.heartbeat * silentHeartbeats)
+        return;
+    std::vector<std::string> peers = settings_.seeds;
+    if (own) {
+        for (const auto& member : own->members)
+            peers.push_back(member.address);
+    }
+    std::erase(peers, ownAddress_);
+    if (peers.empty())
+        return;
+    std::uniform_int_distribution<std::size_t> pick(0, peers.size() - 1);
+    askForState(peers[pick(random_)]);
+}
+
+void Control::scheduleVmList()
+{
+    vmTimer_.expires_after(vmListPeriod);
+    vmTimer_.async_wait([this, alive = alive_](const boost::system::error_code& code) {
+        if (code || !*alive)
+            return;
+        const auto* view = members_.membership().view();
+        // The VM list only matters while a member is not known to have stopped.
+        if (members_.membership().watcher() || (view && !view->departing.empty()))
+            members_.listVms();
+        scheduleVmList();
+    });
+}
+
+void Control::readStore()
+{
+    store_.get(configKey, [this, alive = alive_](std::optional<platform::Listing> listing, const Error&) {
+        if (*alive && listing)
+            onStoreValues(listing->entries);
+    });
+    // The members' records lie below the same prefix; they are few and this is read seldom.
+    store_.list(zonePrefix, [this, alive = alive_](std::optional<platform::Listing> listing, const Error&) {
+        if (*alive && listing)
+            onStoreValues(listing->entries);
+    });
+    std::uniform_real_distribution<double> jitter(0.8, 1.2);
+    const auto delay = std::chrono::duration_cast<Duration>(slowReadPeriod * jitter(random_));
+    auto timer = std::make_shared<boost::asio::steady_timer>(ioContext_, delay);
+    timer->async_wait([this, alive = alive_, timer](const boost::system::error_code& code) {
+        if (!code && *alive)
+            readStore();
+    });
+}
+
+void Control::watchStore()
+{
+    // Two prefixes, since a watch of everything would also deliver each claim.
+    watchPrefix(std::string(configKey));
+    watchPrefix(std::string(zonePrefix));
+}
+
+void Control::watchPrefix(const std::string& prefix)
+{
+    if (!watched_.insert(prefix).second)
+        return;
+    // Listing first gives the revision after which the watch has to begin.
+    store_.list(
+        prefix, [this, alive = alive_, prefix](std::optional<platform::Listing> listing, const Error&) {
+            if (!*alive)
+                return;
+            if (!listing) {
+                watched_.erase(prefix);
+                return;
+            }
+            onStoreValues(listing->entries);
+            const auto onChange = [this, alive](std::span<const platform::KeyValue> values) {
+                if (*alive)
+                    onStoreValues(values);
+            };
+            const auto onEnd = [this, alive, prefix](const Error& reason) {
+                if (!*alive)
+                    return;
+                log(LogLevel::Warn, "control", "watch of the store ended",
+                    { { "prefix", prefix }, { "reason", toString(reason) } });
+                watched_.erase(prefix);
+            };
+            store_.watch(prefix, listing->revision, onChange, onEnd);
+        });
+}
+
+void Control::onStoreValues(std::span<const platform::KeyValue> values)
+{
+    for (const auto& value : values) {
+        if (value.key == configKey)
+            configuration_.onStoreValue(value);
+        else
+            members_.onStoreValue(value);
+    }
+}
+
+void Control::onDocument(std::shared_ptr<const config::Document> document)
+{
+    log(LogLevel::Info, "configuration", "configuration in force",
+        { { "version", std::to_string(document->version.value) },
+            { "layout", std::to_string(document->layout.value) } });
+    document_ = std::move(document);
+    std::vector<UpstreamId> own;
+    for (const auto& service : document_->services) {
+        for (const auto& group : service.groups) {
+            for (const auto& upstream : group.upstreams) {
+                if (upstream.zone == settings_.zone)
+                    own.push_back(upstream.id);
+            }
+        }
+    }
+    members_.run(members_.membership().setUpstreams(own, BootClock::now()));
+    rebuildRouting();
+}
+
+void Control::rebuildRouting()
+{
+    if (!document_)
+        return;
+    auto table = std::make_shared<RoutingTable>();
+    table->document = document_;
+    for (const auto& service : document_->services) {
+        for (const auto& group : service.groups) {
+            for (const auto& upstream : group.upstreams) {
+                if (const auto* home = members_.views().homeOf(upstream.zone, upstream.id))
+                    table->homes.emplace(upstream.id, home->address);
+            }
+        }
+    }
+    routing_ = table;
+    hooks_.onRouting(routing_);
+}
+
+bool Control::serving() const
+{
+    if (!document_)
+        return false;
+    auto zone = std::find_if(document_->zones.begin(), document_->zones.end(),
+        [this](const auto& candidate) { return candidate.id == settings_.zone; });
+    return zone != document_->zones.end() && zone->serving;
+}
+
+Authority Control::authority(const UpstreamId& upstream) const
+{
+    return members_.membership().authority(upstream);
+}
+
+wire::Digest Control::digest() const
+{
+    wire::Digest digest;
+    if (document_)
+        digest.configVersion = document_->version;
+    for (const auto* view : members_.views().all())
+        digest.views.push_back({ view->zone, view->number });
+    return digest;
+}
+
+void Control::askForState(const std::string& address)
+{
+    const auto known = digest();
+    network_.send(address, wire::StateRequest { known.configVersion, known.views });
+}
+
+void Control::onMessage(
+    const VmId& vm, wire::Message message, const std::function<void(wire::Message)>& reply)
+{
+    if (const auto* digest = std::get_if<wire::Digest>(&message))
+        onDigest(*digest, reply);
+    else if (const auto* request = std::get_if<wire::StateRequest>(&message))
+        onStateRequest(*request, reply);
+    else if (const auto* state = std::get_if<wire::StateReply>(&message))
+        onStateReply(*state);
+    else if (const auto* ask = std::get_if<wire::PromiseRequest>(&message))
+        members_.onPromiseRequest(vm, *ask);
+    else if (const auto* promise = std::get_if<wire::Promise>(&message))
+        members_.onPromise(vm, *promise);
+}
+
+void Control::onDigest(const wire::Digest& digest, const std::function<void(wire::Message)>& reply)
+{
+    lastDigest_ = BootClock::now();
+    const auto own = this->digest();
+    bool behind = digest.configVersion > own.configVersion;
+    bool ahead = own.configVersion > digest.configVersion;
+    for (const auto& theirs : digest.views) {
+        const auto* view = members_.views().find(theirs.zone);
+        behind = behind || !view || theirs.view > view->number;
+        ahead = ahead || (view && view->number > theirs.view);
+    }
+    if (behind)
+        reply(wire::StateRequest { own.configVersion, own.views });
+    // A watcher that fell behind learns it from any member, which is what keeps a cut-off watcher from
+    // holding its zone back.
+    if (ahead)
+        onStateRequest({ digest.configVersion, digest.views }, reply);
+}
+
+void Control::onStateRequest(
+    const wire::StateRequest& request, const std::function<void(wire::Message)>& reply)
+{
+    wire::StateReply state;
+    if (document_ && document_->version > request.haveConfig)
+        state.config = configuration_.text();
+    for (const auto* view : members_.views().all()) {
+        auto theirs = std::find_if(request.haveViews.begin(), request.haveViews.end(),
+            [view](const auto& candidate) { return candidate.zone == view->zone; });
+        if (theirs == request.haveViews.end() || theirs->view < view->number)
+            state.views.push_back({ view->zone, view->number, membership::print(*view) });
+    }
+    if (!state.config.empty() || !state.views.empty())
+        reply(std::move(state));
+}
+
+void Control::onStateReply(const wire::StateReply& reply)
+{
+    lastDigest_ = BootClock::now();
+    for (const auto& encoded : reply.views) {
+        Error reason;
+        if (auto view = membership::parseView(encoded.text, reason))
+            members_.onPeerView(*view);
+        else
+            log(LogLevel::Warn, "control", "view of a peer is not readable",
+                { { "reason", toString(reason) } });
+    }
+    if (!reply.config.empty())
+        configuration_.onPeerDocument(reply.config);
+}
+
+} // namespace banyancroft::daemon
--- /dev/null
+++ b/libs/daemon/src/control.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "claims/claims.h"
+#include "command_result.h"
+#include "configuration_driver.h"
+#include "daemon/settings.h"
+#include "membership_driver.h"
+#include "peer_network.h"
+#include "platform/etcd_store.h"
+#include "query/statement.h"
+#include "routing_table.h"
+#include "telemetry/metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace banyancroft::daemon {
+
+/**
+ * The control thread's state: membership of the own zone, views of all zones, the configuration in force,
+ * and the exchange of both with peers.
+ *
+ * Lives on the control thread and is called only there.
+ */
+class Control {
+public:
+    struct Hooks {
+        /** A new table is in force; called after the authorities that belong to it. */
+        std::function<void(RoutingTablePointer)> onRouting;
+        std::function<void(const UpstreamId&, const Authority&)> onAuthority;
+        decltype(MembershipDriver::Hooks::collectInFlight) collectInFlight;
+        std::function<void()> onHandOverDone;
+    };
+
+    Control(boost::asio::io_context& ioContext, const Settings& settings, Incarnation incarnation,
+        std::string ownAddress, Hooks hooks);
+    ~Control();
+
+    void start();
+    /** Begins the hand-over of a planned stop. */
+    void stop();
+
+    /** Handles a message of another daemon; `vm` is empty when the sender did not introduce itself. */
+    void onMessage(const VmId& vm, wire::Message message, const std::function<void(wire::Message)>& reply);
+
+    /** Carries out a command of an operator; searches, submits and explain are not commands. */
+    void runCommand(const query::Statement& statement, std::function<void(CommandResult)> callback);
+
+    claims::Claims& claims() { return claims_; }
+    MembershipDriver& members() { return members_; }
+    ConfigurationDriver& configuration() { return configuration_; }
+    const config::Document* document() const { return document_.get(); }
+    /** True when the configuration is known and lets the own zone serve. */
+    bool serving() const;
+    /** Authority over an upstream of the own zone. */
+    Authority authority(const UpstreamId& upstream) const;
+
+private:
+    void scheduleTick();
+    void scheduleHeartbeat();
+    void scheduleVmList();
+    void tick();
+    void heartbeat();
+
+    void readStore();
+    void watchStore();
+    void watchPrefix(const std::string& prefix);
+    void onStoreValues(std::span<const platform::KeyValue> values);
+    void onDocument(std::shared_ptr<const config::Document> document);
+    void rebuildRouting();
+
+    wire::Digest digest() const;
+    CommandResult release(const query::ReleaseZone& statement);
+    CommandResult show(const query::Show& statement) const;
+    CommandResult status() const;
+
+    void onDigest(const wire::Digest& digest, const std::function<void(wire::Message)>& reply);
+    void onStateRequest(const wire::StateRequest& request, const std::function<void(wire::Message)>& reply);
+    void onStateReply(const wire::StateReply& reply);
+    void askForState(const std::string& address);
+
+    boost::asio::io_context& ioContext_;
+    const Settings settings_;
+    const std::string ownAddress_;
+    Hooks hooks_;
+    std::mt19937_64 random_;
+    platform::EtcdStore store_;
+    PeerNetwork network_;
+    MembershipDriver members_;
+    ConfigurationDriver configuration_;
+    claims::Claims claims_;
+    std::shared_ptr<const config::Document> document_;
+    /** Home addresses of the last table, by zone view, so that one changed zone costs one recomputation. */
+    RoutingTablePointer routing_;
+    bool routingChanged_ = false;
+    /** Prefixes with a watch that runs or is being started. */
+    std::set<std::string> watched_;
+    TimePoint lastDigest_ {};
+    boost::asio::steady_timer tickTimer_;
+    boost::asio::steady_timer heartbeatTimer_;
+    boost::asio::steady_timer vmTimer_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace banyancroft::daemon
--- /dev/null
+++ b/libs/daemon/src/daemon.cpp
@@ -0,0 +1,503 @@
+#include "daemon/daemon.h"
+
+#include "control.h"
+#include "query_service.h"
+#include "telemetry/log.h"
+#include "telemetry/trace.h"
+#include "worker.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <random>
+
+namespace banyancroft::daemon {
+
+namespace {
+
+using telemetry::log;
+using telemetry::LogLevel;
+using Tcp = boost::asio::ip::tcp;
+
+constexpr std::chrono::milliseconds stopPollPeriod { 20 };
+constexpr std::size_t keptTraces = 4096;
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) ^ device();
+}
+
+EntryMetrics entryMetrics(telemetry::Metrics& metrics)
+{
+    return {
+        metrics.counter("banyancroft_searches_total", "Searches begun"),
+        metrics.counter("banyancroft_partial_answers_total", "Searches answered without all shards"),
+        metrics.counter("banyancroft_refused_searches_total", "Searches refused as not run"),
+        metrics.counter("banyancroft_subrequests_total", "Sub-requests sent, hedges and retries included"),
+        metrics.counter("banyancroft_hedges_total", "Second copies of late sub-requests"),
+        metrics.counter("banyancroft_retries_total", "Sub-requests sent again after a failure"),
+        metrics.counter("banyancroft_restarts_total", "Searches restarted at another snapshot"),
+        metrics.counter("banyancroft_unknown_replies_total", "Replies to no open query, dropped"),
+        metrics.counter("banyancroft_submits_total", "Submits begun"),
+        metrics.latency("banyancroft_search_seconds", "Time from a parsed search to its answer"),
+    };
+}
+
+} // namespace
+
+class Daemon::Impl {
+public:
+    explicit Impl(Settings settings)
+        : settings_(std::move(settings))
+        , incarnation_ { randomNumber() | 1 }
+        , signals_(ioContext_)
+        , acceptor_(ioContext_)
+        , stopTimer_(ioContext_)
+        , traces_(keptTraces)
+    {
+    }
+
+    ~Impl()
+    {
+        for (auto& worker : workers_)
+            worker->stop();
+    }
+
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    std::optional<BoundAddresses> start(Error& reason)
+    {
+        if (!listenForPeers(reason))
+            return std::nullopt;
+        const std::string bound = toString(acceptor_.local_endpoint());
+        const std::string ownAddress = settings_.peerAddress.empty() ? bound : settings_.peerAddress;
+        makeWorkers(ownAddress);
+        makeControl(ownAddress);
+        auto http = listenForCallers(reason);
+        if (!http)
+            return std::nullopt;
+        for (auto& worker : workers_)
+            worker->start();
+        acceptPeer();
+        control_->start();
+        waitForSignal();
+        scheduleReadiness();
+        log(LogLevel::Info, "daemon", "started",
+            { { "version", BANYANCROFT_VERSION }, { "zone", settings_.zone.str() }, { "http", *http },
+                { "peer", ownAddress }, { "incarnation", std::to_string(incarnation_.value) } });
+        return BoundAddresses { *http, bound };
+    }
+
+    int run()
+    {
+        auto guard = boost::asio::make_work_guard(ioContext_);
+        ioContext_.run();
+        for (auto& worker : workers_)
+            worker->stop();
+        return cut_ ? 1 : 0;
+    }
+
+    void requestStop()
+    {
+        boost::asio::post(ioContext_, [this] { beginStop(); });
+    }
+
+private:
+    /** What a worker still has to finish before a planned stop is complete. */
+    struct Remaining {
+        std::size_t requests = 0;
+        std::size_t queries = 0;
+        std::size_t inFlight = 0;
+
+        bool none() const { return requests == 0 && queries == 0 && inFlight == 0; }
+    };
+
+    bool listenForPeers(Error& reason)
+    {
+        const auto endpoint = *parseEndpoint(settings_.peerListen);
+        boost::system::error_code code;
+        acceptor_.open(endpoint.protocol(), code);
+        if (!code)
+            acceptor_.set_option(boost::asio::socket_base::reuse_address(true), code);
+        if (!code)
+            acceptor_.bind(endpoint, code);
+        if (!code)
+            acceptor_.listen(boost::asio::socket_base::max_listen_connections, code);
+        if (!code)
+            return true;
+        reason = { ErrorKind::InvalidInput,
+            "--peer-listen: cannot listen on " + settings_.peerListen + ": " + code.message(),
+            "choose an address of this VM and a free port" };
+        return false;
+    }
+
+    void makeWorkers(const std::string& ownAddress)
+    {
+        const auto metrics = entryMetrics(metrics_);
+        queryMetrics_.emplace(makeQueryMetrics(metrics_));
+        const wire::Hello hello { settings_.vm, incarnation_, settings_.zone, {}, false };
+        std::vector<Worker*> all;
+        for (unsigned index = 0; index < settings_.trafficThreads; ++index) {
+            Worker::Hooks hooks;
+            hooks.onHttp = [this, index](HttpRequest request, HttpServer::Respond respond) {
+                services_[index]->handle(std::move(request), std::move(respond));
+            };
+            hooks.claim = [this, index](const ServiceId& service, const IdempotencyKey& key,
+                              std::string fingerprint, TimePoint deadline,
+                              std::function<void(ClaimReply)> callback) {
+                claim(*workers_[index], service, key, std::move(fingerprint), deadline, std::move(callback));
+            };
+            hooks.onControlMessage = [this](const std::string& address, wire::Message message) {
+                boost::asio::post(ioContext_, [this, address, message = std::move(message)]() mutable {
+                    control_->onMessage({}, std::move(message), [](const wire::Message&) {});
+                });
+            };
+            workers_.push_back(std::make_unique<Worker>(
+                index, hello, ownAddress, randomNumber(), HttpLimits {}, metrics, std::move(hooks)));
+            all.push_back(workers_.back().get());
+            services_.push_back(makeService(*workers_.back()));
+        }
+        for (auto& worker : workers_)
+            worker->setPeers(all);
+    }
+
+    std::unique_ptr<QueryService> makeService(Worker& worker)
+    {
+        QueryService::Hooks hooks;
+        hooks.ready = [this] { return ready_.load(); };
+        hooks.metricsPage = [this] { return metrics_.write(); };
+        hooks.command = [this, &worker](
+                            query::Statement statement, std::function<void(CommandResult)> callback) {
+            boost::asio::post(ioContext_,
+                [this, &worker, statement = std::move(statement), callback = std::move(callback)]() mutable {
+                    runCommand(std::move(statement), [&worker, callback](CommandResult result) {
+                        worker.post([callback, result = std::move(result)]() mutable {
+                            callback(std::move(result));
+                        });
+                    });
+                });
+        };
+        return std::make_unique<QueryService>(
+            worker.entry(), traces_, *queryMetrics_, settings_, randomNumber(), std::move(hooks));
+    }
+
+    void makeControl(const std::string& ownAddress)
+    {
+        Control::Hooks hooks;
+        hooks.onRouting = [this](RoutingTablePointer table) { publish(std::move(table)); };
+        hooks.onAuthority = [this](const UpstreamId& upstream, const Authority& authority) {
+            Worker& owner = workers_.front()->ownerOf(upstream);
+            owner.post([&owner, upstream, authority] { owner.home().setAuthority(upstream, authority); });
+        };
+        hooks.collectInFlight = [this](std::function<void(std::vector<membership::InFlight>)> callback) {
+            collectInFlight(std::move(callback));
+        };
+        hooks.onHandOverDone = [this] { handOverDone_ = true; };
+        control_
+            = std::make_unique<Control>(ioContext_, settings_, incarnation_, ownAddress, std::move(hooks));
+    }
+
+    std::optional<std::string> listenForCallers(Error& reason)
+    {
+        auto endpoint = *parseEndpoint(settings_.listen);
+        for (auto& worker : workers_) {
+            // The first listener takes the port, the others share it.
+            auto bound = worker->http().listen(endpoint, reason);
+            if (!bound)
+                return std::nullopt;
+            endpoint = *bound;
+        }
+        return toString(endpoint);
+    }
+
+    void acceptPeer()
+    {
+        acceptor_.async_accept([this](const boost::system::error_code& code, Tcp::socket socket) {
+            if (code == boost::asio::error::operation_aborted)
+                return;
+            if (!code)
+                greet(std::move(socket));
+            acceptPeer();
+        });
+    }
+
+    // Reads the Hello of a peer, then keeps a control connection or hands a traffic connection to a worker.
+    void greet(Tcp::socket socket)
+    {
+        const bool isV6 = socket.local_endpoint().address().is_v6();
+        auto vm = std::make_shared<std::optional<VmId>>();
+        PeerConnection::Hooks hooks;
+        hooks.onMessage
+            = [this, vm, isV6](const std::shared_ptr<PeerConnection>& connection, wire::Message message) {
+                  if (*vm)
+                      return control_->onMessage(
+                          **vm, std::move(message), [weak = std::weak_ptr(connection)](wire::Message reply) {
+                              if (auto target = weak.lock())
+                                  target->send(reply);
+                          });
+                  const auto* hello = std::get_if<wire::Hello>(&message);
+                  if (!hello)
+                      return connection->close();
+                  if (hello->control) {
+                      *vm = hello->vm;
+                      return;
+                  }
+                  handToWorker(*connection, isV6);
+              };
+        std::make_shared<PeerConnection>(std::move(socket), nextConnectionId(), std::move(hooks))->start();
+    }
+
+    void handToWorker(PeerConnection& connection, bool isV6)
+    {
+        auto [descriptor, frames] = connection.release();
+        if (descriptor < 0)
+            return;
+        Worker& worker = *workers_[nextWorker_++ % workers_.size()];
+        worker.post([&worker, descriptor = descriptor, frames = std::move(frames), isV6]() mutable {
+            worker.adopt(descriptor, std::move(frames), isV6);
+        });
+    }
+
+    void claim(Worker& worker, const ServiceId& service, const IdempotencyKey& key, std::string fingerprint,
+        TimePoint deadline, std::function<void(ClaimReply)> callback)
+    {
+        boost::asio::post(ioContext_,
+            [this, &worker, service, key, fingerprint = std::move(fingerprint), deadline,
+                callback = std::move(callback)]() mutable {
+                control_->claims().claim(service, key, std::move(fingerprint), deadline,
+                    [this, &worker, callback = std::move(callback)](claims::ClaimAnswer answer) {
+                        worker.post([callback, reply = toReply(worker, std::move(answer))]() mutable {
+                            callback(std::move(reply));
+                        });
+                    });
+            });
+    }
+
+    ClaimReply toReply(Worker& worker, claims::ClaimAnswer answer)
+    {
+        ClaimReply reply;
+        reply.kind = static_cast<ClaimReply::Kind>(answer.kind);
+        reply.reason = answer.reason;
+        reply.result = std::move(answer.result);
+        if (!answer.held)
+            return reply;
+        reply.finish = [this, &worker, held = std::move(*answer.held)](
+                           Outcome outcome, std::string result, std::function<void()> onRecorded) {
+            // Counted from here on, so that a planned stop waits for the outcome to be recorded.
+            boost::asio::post(ioContext_,
+                [this, &worker, held, outcome, result = std::move(result),
+                    onRecorded = std::move(onRecorded)] {
+                    control_->claims().finish(held, outcome, result, [&worker, onRecorded] {
+                        if (onRecorded)
+                            worker.post(onRecorded);
+                    });
+                });
+        };
+        return reply;
+    }
+
+    void publish(RoutingTablePointer table)
+    {
+        const bool newDocument = !published_ || published_->document != table->document;
+        published_ = table;
+        std::vector<std::vector<home::Target>> targets(workers_.size());
+        if (newDocument)
+            collectTargets(*table->document, targets);
+        for (std::size_t index = 0; index < workers_.size(); ++index) {
+            Worker& worker = *workers_[index];
+            worker.post([&worker, table, newDocument, own = std::move(targets[index])] {
+                worker.entry().apply(table);
+                if (newDocument)
+                    worker.home().apply(table->document->policy, own);
+            });
+        }
+    }
+
+    void collectTargets(const config::Document& document, std::vector<std::vector<home::Target>>& targets)
+    {
+        const bool serving = control_->serving();
+        for (const auto& service : document.services) {
+            for (const auto& group : service.groups) {
+                for (const auto& upstream : group.upstreams) {
+                    if (upstream.zone != settings_.zone)
+                        continue;
+                    home::Target target { upstream, service.id, service.slots, service.connections,
+                        service.coldLimit, serving, control_->authority(upstream.id) };
+                    const Worker* owner = &workers_.front()->ownerOf(upstream.id);
+                    for (std::size_t index = 0; index < workers_.size(); ++index) {
+                        if (workers_[index].get() == owner)
+                            targets[index].push_back(std::move(target));
+                    }
+                }
+            }
+        }
+    }
+
+    void collectInFlight(std::function<void(std::vector<membership::InFlight>)> callback)
+    {
+        struct Collection {
+            std::vector<membership::InFlight> counts;
+            std::size_t missing = 0;
+            std::function<void(std::vector<membership::InFlight>)> callback;
+        };
+        auto collection = std::make_shared<Collection>();
+        collection->missing = workers_.size();
+        collection->callback = std::move(callback);
+        for (auto& worker : workers_) {
+            worker->post([this, &worker = *worker, collection] {
+                std::vector<membership::InFlight> own;
+                for (const auto& status : worker.home().status()) {
+                    if (status.running > 0)
+                        own.push_back({ status.upstream, status.running });
+                }
+                boost::asio::post(ioContext_, [collection, own = std::move(own)] {
+                    collection->counts.insert(collection->counts.end(), own.begin(), own.end());
+                    if (--collection->missing == 0)
+                        collection->callback(std::move(collection->counts));
+                });
+            });
+        }
+    }
+
+    void runCommand(query::Statement statement, std::function<void(CommandResult)> callback)
+    {
+        control_->runCommand(std::move(statement), std::move(callback));
+    }
+
+    void scheduleReadiness()
+    {
+        ready_ = !stopping_ && control_->serving();
+        stopTimer_.expires_after(std::chrono::milliseconds(50));
+        stopTimer_.async_wait([this](const boost::system::error_code& code) {
+            if (!code && !stopping_)
+                scheduleReadiness();
+        });
+    }
+
+    void waitForSignal()
+    {
+        boost::system::error_code ignored;
+        signals_.add(SIGTERM, ignored);
+        signals_.add(SIGINT, ignored);
+        signals_.async_wait([this](const boost::system::error_code& code, int signal) {
+            if (code)
+                return;
+            log(LogLevel::Info, "daemon", "signal received", { { "signal", std::to_string(signal) } });
+            if (stopping_)
+                return endStop("second signal");
+            beginStop();
+            waitForSignal();
+        });
+    }
+
+    void beginStop()
+    {
+        if (stopping_)
+            return;
+        stopping_ = true;
+        ready_ = false;
+        stopBegan_ = BootClock::now();
+        control_->stop();
+        // The balancer needs a moment to see that this daemon is not ready.
+        after(settings_.lameDuck, [this] {
+            for (auto& worker : workers_)
+                worker->post([&worker = *worker] { worker.http().drain(); });
+            pollStop();
+        });
+    }
+
+    void after(Duration delay, std::function<void()> function)
+    {
+        stopTimer_.expires_after(delay);
+        stopTimer_.async_wait([function = std::move(function)](const boost::system::error_code& code) {
+            if (!code)
+                function();
+        });
+    }
+
+    void pollStop()
+    {
+        auto remaining = std::make_shared<Remaining>();
+        auto missing = std::make_shared<std::size_t>(workers_.size());
+        for (auto& worker : workers_) {
+            worker->post([this, &worker = *worker, remaining, missing] {
+                const Remaining own { worker.http().openRequests(), worker.entry().open(),
+                    worker.home().inFlight() };
+                boost::asio::post(ioContext_, [this, remaining, missing, own] {
+                    remaining->requests += own.requests;
+                    remaining->queries += own.queries;
+                    remaining->inFlight += own.inFlight;
+                    if (--*missing == 0)
+                        decideStop(*remaining);
+                });
+            });
+        }
+    }
+
+    void decideStop(const Remaining& remaining)
+    {
+        remaining_ = remaining;
+        const bool finished = remaining.none() && control_->claims().unrecorded() == 0 && handOverDone_;
+        if (finished) {
+            log(LogLevel::Info, "daemon", "planned stop complete",
+                { { "millis", std::to_string(toMicros(BootClock::now() - stopBegan_) / 1000) } });
+            return ioContext_.stop();
+        }
+        if (BootClock::now() - stopBegan_ >= settings_.stopLimit)
+            return endStop("stop limit reached");
+        after(stopPollPeriod, [this] { pollStop(); });
+    }
+
+    void endStop(std::string_view cause)
+    {
+        const std::size_t unrecorded = control_->claims().unrecorded();
+        cut_ = !remaining_.none() || unrecorded > 0;
+        log(cut_ ? LogLevel::Error : LogLevel::Warn, "daemon", "stop ended early",
+            { { "cause", std::string(cause) }, { "requests_cut", std::to_string(remaining_.requests) },
+                { "queries_cut", std::to_string(remaining_.queries) },
+                { "in_flight_cut", std::to_string(remaining_.inFlight) },
+                { "outcomes_unrecorded", std::to_string(unrecorded) },
+                { "hand_over_done", handOverDone_ ? "true" : "false" } });
+        ioContext_.stop();
+    }
+
+    const Settings settings_;
+    const Incarnation incarnation_;
+    boost::asio::io_context ioContext_ { 1 };
+    boost::asio::signal_set signals_;
+    Tcp::acceptor acceptor_;
+    boost::asio::steady_timer stopTimer_;
+    telemetry::Metrics metrics_;
+    telemetry::TraceRing traces_;
+    std::optional<QueryMetrics> queryMetrics_;
+    std::vector<std::unique_ptr<QueryService>> services_;
+    std::vector<std::unique_ptr<Worker>> workers_;
+    std::unique_ptr<Control> control_;
+    RoutingTablePointer published_;
+    std::size_t nextWorker_ = 0;
+    std::atomic<bool> ready_ { false };
+    bool stopping_ = false;
+    bool handOverDone_ = false;
+    bool cut_ = false;
+    TimePoint stopBegan_ {};
+    Remaining remaining_;
+};
+
+Daemon::Daemon(Settings settings)
+    : impl_(std::make_unique<Impl>(std::move(settings)))
+{
+}
+
+Daemon::~Daemon() = default;
+
+std::optional<BoundAddresses> Daemon::start(Error& reason) { return impl_->start(reason); }
+
+int Daemon::run() { return impl_->run(); }
+
+void Daemon::requestStop() { impl_->requestStop(); }
+
+} // namespace banyancroft::daemon
--- /dev/null
+++ b/libs/daemon/src/entry.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "routing_table.h"
+#include "search/cluster_state.h"
+#include "search/policy_state.h"
+#include "search/search_coordinator.h"
+#include "search/submit_router.h"
+#include "telemetry/metrics.h"
+#include "wire/messages.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace banyancroft::daemon {
+
+/** A `submit` statement with its trace. */
+struct SubmitCall {
+    std::string operation;
+    IdempotencyKey key;
+    /** JSON text. */
+    std::string payload;
+    TimePoint deadline {};
+    std::string traceparent;
+};
+
+struct SubmitResult {
+    Outcome outcome = Outcome::NotRun;
+    Reason reason = Reason::None;
+    /** JSON text, only with Outcome::Done. */
+    std::string result;
+    /** The key was used for another operation or payload; nothing was run for this call. */
+    bool keyMismatch = false;
+    /** The document in force has no such operation. */
+    bool unknownOperation = false;
+    /** Upstreams that were tried, in order, with the reason of each. */
+    std::vector<std::pair<std::string, Reason>> attempts;
+};
+
+/** Answer to a claim, as far as the entry needs it. */
+struct ClaimReply {
+    enum class Kind : std::uint8_t { Held, AlreadyDone, Unknown, Mismatch, Refused };
+    Kind kind = Kind::Refused;
+    Reason reason = Reason::None;
+    std::string result;
+    /** Records the outcome; call exactly once when `kind` is Held. The callback runs when it is recorded. */
+    std::function<void(Outcome, std::string, std::function<void()>)> finish;
+};
+
+/** Counts over all entries of the daemon. */
+struct EntryMetrics {
+    telemetry::Counter& searches;
+    telemetry::Counter& partialAnswers;
+    telemetry::Counter& refusedSearches;
+    telemetry::Counter& subrequests;
+    telemetry::Counter& hedges;
+    telemetry::Counter& retries;
+    telemetry::Counter& restarts;
+    telemetry::Counter& unknownReplies;
+    telemetry::Counter& submits;
+    telemetry::LatencyHistogram& searchTime;
+};
+
+/**
+ * The entry role on one traffic thread: runs searches and submits, and owns what the thread has learnt of
+ * the upstreams. Called only on its thread; callbacks run on it.
+ */
+class Entry {
+public:
+    struct Hooks {
+        std::function<TimePoint()> now;
+        /** Sends to the home at the given peer address; the own address means the own home. */
+        std::function<void(const std::string& address, wire::Message)> send;
+        /** Claims a key; the reply comes on this thread. */
+        std::function<void(const ServiceId&, const IdempotencyKey&, std::string fingerprint,
+            TimePoint deadline, std::function<void(ClaimReply)>)>
+            claim;
+    };
+
+    /** @param firstSequence makes sequence and query numbers of the threads of one daemon distinct */
+    Entry(boost::asio::io_context& ioContext, AvailabilityZone ownZone, std::uint64_t seed,
+        std::uint64_t firstSequence, EntryMetrics metrics, Hooks hooks);
+    ~Entry();
+
+    void apply(RoutingTablePointer table);
+    const config::Document* document() const { return table_ ? table_->document.get() : nullptr; }
+
+    void search(search::SearchRequest request, std::function<void(search::Answer)> callback);
+    void submit(SubmitCall call, std::function<void(SubmitResult)> callback);
+
+    void onReply(wire::SubreplyBatch batch);
+    /** @param established false: nothing that was queued reached the home */
+    void onHomeDisconnected(const std::string& address, bool established);
+
+    /** Searches and submits not yet answered, late outcomes of submits included. */
+    std::size_t open() const { return searches_.size() + submits_.size(); }
+
+private:
+    struct ActiveSearch;
+    struct ActiveSubmit;
+
+    void run(ActiveSearch& active);
+    void sendAll(ActiveSearch& active);
+    void armTimer(ActiveSearch& active);
+    void finishSearch(ActiveSearch& active);
+    void replyWithoutHome(wire::QueryNumber query, wire::SubreplyItem item);
+
+    void routeSubmit(ActiveSubmit& active);
+    void onSubmitReply(ActiveSubmit& active, wire::SubreplyItem item);
+    void settleSubmit(ActiveSubmit& active, Outcome outcome, Reason reason, std::string result);
+    void answerSubmit(ActiveSubmit& active, Outcome outcome, Reason reason, std::string result);
+    void armSubmitTimer(ActiveSubmit& active, TimePoint when);
+
+    boost::asio::io_context& ioContext_;
+    const AvailabilityZone ownZone_;
+    EntryMetrics metrics_;
+    Hooks hooks_;
+    search::Random random_;
+    search::SequenceGenerator sequences_;
+    search::ClusterState cluster_;
+    search::PolicyState policy_;
+    search::SubmitRouter router_;
+    RoutingTablePointer table_;
+    const std::uint64_t numberBase_;
+    std::uint64_t lastQuery_ = 0;
+    std::unordered_map<wire::QueryNumber, std::unique_ptr<ActiveSearch>> searches_;
+    std::unordered_map<wire::QueryNumber, std::unique_ptr<ActiveSubmit>> submits_;
+    /** Ends callbacks that arrive after this object is gone. */
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace banyancroft::daemon
--- /dev/null
+++ b/libs/daemon/src/membership_driver.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "membership/membership.h"
+#include "membership/zone_views.h"
+#include "platform/store.h"
+#include "wire/messages.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace banyancroft::daemon {
+
+/** Prefix of all keys of this project at the store. */
+constexpr std::string_view storePrefix = "/banyancroft/";
+/** Prefix of views and member records. */
+constexpr std::string_view zonePrefix = "/banyancroft/az/";
+/** The platform's list of live and leaving VMs, one key per VM. */
+constexpr std::string_view vmListPrefix = "/platform/vms/";
+
+/** Store key of the view of a zone. */
+std::string viewKey(const AvailabilityZone& zone);
+/** Zone of a view key; empty when the key is none. */
+std::optional<AvailabilityZone> zoneOfViewKey(std::string_view key);
+
+/**
+ * Carries out the actions of membership::Membership against the store and feeds the answers back.
+ * Lives on the control thread.
+ */
+class MembershipDriver {
+public:
+    struct Hooks {
+        std::function<TimePoint()> now;
+        std::function<void(const UpstreamId&, const Authority&)> onAuthority;
+        /** Collects the work in flight of all traffic threads after the authorities set before are in force.
+         */
+        std::function<void(std::function<void(std::vector<membership::InFlight>)>)> collectInFlight;
+        std::function<void(const std::string& address, wire::Message)> send;
+        /** A newer view of some zone is known. */
+        std::function<void()> onViews;
+        std::function<void()> onHandOverDone;
+    };
+
+    MembershipDriver(platform::Store& store, membership::Settings settings, Hooks hooks);
+    ~MembershipDriver();
+
+    membership::Membership& membership() { return membership_; }
+    const membership::Membership& membership() const { return membership_; }
+    const membership::ZoneViews& views() const { return views_; }
+
+    /** Carries out actions that a direct call of membership() returned. */
+    void run(membership::Actions actions);
+    /** Handles a change of a key below zonePrefix that a watch or listing showed. */
+    void onStoreValue(const platform::KeyValue& value);
+    /** Takes a view that a peer sent. */
+    void onPeerView(const membership::View& view);
+    void onPromiseRequest(const VmId& from, const wire::PromiseRequest& request);
+    void onPromise(const VmId& from, const wire::Promise& promise);
+    /** Reads the platform's VM list. */
+    void listVms();
+
+private:
+    void perform(const membership::AcquireLease& action);
+    void perform(const membership::RenewLease& action);
+    void perform(const membership::ReadView& action);
+    void perform(const membership::SwapView& action);
+    void perform(const membership::WriteRecord& action);
+    void perform(const membership::ListMembers& action);
+    void perform(const membership::AskPromise& action);
+    void perform(const membership::GivePromise& action);
+    void perform(const membership::AuthorityChanged& action);
+    void perform(const membership::ReportInFlight& action);
+    void perform(const membership::HandOverDone& action);
+
+    /** Wraps a store callback so that it does nothing after this object is gone. */
+    template <typename Result>
+    platform::Callback<Result> guarded(
+        membership::RequestId request, std::function<void(const Result&)> onResult);
+    void adopt(const membership::View& view);
+
+    platform::Store& store_;
+    const membership::Settings settings_;
+    const std::string memberPrefix_;
+    Hooks hooks_;
+    membership::Membership membership_;
+    membership::ZoneViews views_;
+    platform::LeaseId lease_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace banyancroft::daemon
--- a/libs/daemon/src/peer_network.cpp
+++ b/libs/daemon/src/peer_network.cpp
@@ -85,10 +85,7 @@
 {
     auto endpoint = parseEndpoint(address);
     if (!endpoint) {
-        boost::asio::post(ioContext_, [this, alive = alive_, address] {
-            if (*alive)
-                disconnected(address, false);
-        });
+        disconnected(address, false);
         return;
     }
     auto socket = std::make_shared<PeerConnection::Socket>(ioContext_);
@@ -134,7 +131,12 @@
 void PeerNetwork::disconnected(const std::string& address, bool established)
 {
     peers_.erase(address);
-    hooks_.onDisconnected(address, established);
+    // Posted, since a send that overflows its queue ends up here while the sender is in the middle of its
+    // work.
+    boost::asio::post(ioContext_, [this, alive = alive_, address, established] {
+        if (*alive)
+            hooks_.onDisconnected(address, established);
+    });
 }
 
 } // namespace banyancroft::daemon
