--- a/libs/platform/include/platform/etcd_store.h
+++ b/libs/platform/include/platform/etcd_store.h
@@ -40,7 +40,7 @@
         Duration deadline = std::chrono::seconds(1);
     };
 
-    EtcdStore(boost::asio::io_context& ioContext, Options options);
+    EtcdStore(boost::asio::io_context& ioContext, const Options& options);
     ~EtcdStore() override;
 
     void get(std::string_view key, Callback<Listing> callback) override;
--- a/libs/platform/src/etcd_store.cpp
+++ b/libs/platform/src/etcd_store.cpp
@@ -34,7 +34,7 @@
     }
 
     template <typename Result, typename Parser>
-    void call(std::string_view target, std::string body, Callback<Result> callback, Parser parser)
+    void call(std::string_view target, std::string&& body, Callback<Result> callback, Parser parser)
     {
         client_.call("POST", target, std::move(body), deadline_,
             [callback = std::move(callback), parser = std::move(parser)](
@@ -107,10 +107,11 @@
             if (!watch)
                 return;
         }
-        if (watch->line.size() > maxWatchLineBytes)
+        if (watch->line.size() > maxWatchLineBytes) {
             end(prefix, number,
                 { ErrorKind::MalformedMessage, "a line of the watch is too long",
                     "check that --store names an etcd v3 JSON gateway" });
+        }
     }
 
     void end(const std::string& prefix, std::uint64_t number, const Error& reason)
@@ -131,7 +132,7 @@
     HttpClient client_;
 };
 
-EtcdStore::EtcdStore(boost::asio::io_context& ioContext, Options options)
+EtcdStore::EtcdStore(boost::asio::io_context& ioContext, const Options& options)
     : impl_(std::make_shared<Impl>(ioContext, options))
 {
 }
--- a/tools/platform_emulator/src/gateway.cpp
+++ b/tools/platform_emulator/src/gateway.cpp
@@ -240,9 +240,10 @@
             const auto lease = integerField(json, "ID");
             Json result { { "header", header(state_) } };
             setInteger(result, "ID", lease);
-            if (const auto timeToLive = state_.renewLease(lease, now))
+            if (const auto timeToLive = state_.renewLease(lease, now)) {
                 setInteger(
                     result, "TTL", std::chrono::duration_cast<std::chrono::seconds>(*timeToLive).count());
+            }
             return { { 200, {}, Json { { "result", result } }.dump() + "\n" }, true };
         }
         if (path == "/v3/lease/revoke") {
--- a/tools/platform_emulator/src/main.cpp
+++ b/tools/platform_emulator/src/main.cpp
@@ -4,6 +4,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
+#include <absl/strings/match.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -48,7 +49,7 @@
 {
     absl::FlagsUsageConfig usage;
     usage.version_string = [] { return "banyancroft-platform-emulator " BANYANCROFT_VERSION "\n"; };
-    usage.contains_help_flags = [](absl::string_view) { return true; };
+    usage.contains_help_flags = [](absl::string_view file) { return absl::StrContains(file, "main.cpp"); };
     absl::SetFlagsUsageConfig(usage);
     absl::SetProgramUsageMessage(
         "Emulates the platform's key-value service (etcd v3 JSON gateway) for tests and measurements.");
