Add the upstream emulator

Runs need upstreams whose limits are known and whose books show what a daemon did: over-limit sends, connections over the cap, runs per idempotency key, work after a take-out. One process serves every upstream of a configuration document on ports of its own; faults come over an admin port. A closed connection frees no slot, only an answer, a deadline or a cancellation does.

--- a/tools/http_server/src/http_server.cpp
+++ b/tools/http_server/src/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http_server/http_server.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -70,6 +71,7 @@
     void listen();
     void close();
     void accept();
+    void admit(tcp::socket socket, std::string address);
     void resetConnections(std::string_view remoteAddress);
 
     asio::io_context& ioContext_;
@@ -318,19 +320,28 @@
         if (!failure && !ignored) {
             socket.set_option(tcp::no_delay(true), ignored);
             auto address = remote.address().to_string();
-            const bool wanted = !self->options_.onAccept || self->options_.onAccept(address);
-            auto session = std::make_shared<Session>(self, std::move(socket), std::move(address));
-            self->sessions_.insert(session);
-            if (wanted) {
-                session->startAfter(self->options_.connectTime);
-            } else {
-                session->close(true);
-            }
+            // Deferred, so that connections which their clients closed before are no longer counted.
+            asio::post(
+                self->ioContext_, [self, socket = std::move(socket), address = std::move(address)]() mutable {
+                    self->admit(std::move(socket), std::move(address));
+                });
         }
         self->accept();
     });
 }
 
+void HttpServer::Impl::admit(tcp::socket socket, std::string address)
+{
+    const bool wanted = !options_.onAccept || options_.onAccept(address);
+    auto session = std::make_shared<Session>(weak_from_this(), std::move(socket), std::move(address));
+    sessions_.insert(session);
+    if (wanted) {
+        session->startAfter(options_.connectTime);
+    } else {
+        session->close(true);
+    }
+}
+
 void HttpServer::Impl::close()
 {
     error_code ignored;
--- /dev/null
+++ b/tools/upstream_emulator/src/replica_server.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "http_server/http_server.h"
+#include "upstream_emulator/replica.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace banyancroft::tools {
+
+/** Serves section 3.2 for one emulated upstream. Owned and used by the thread of its io_context. */
+class ReplicaServer {
+public:
+    ReplicaServer(boost::asio::io_context& ioContext, Replica::Settings settings, const std::string& address,
+        std::uint16_t port, Duration connectTime);
+    ~ReplicaServer();
+    ReplicaServer(const ReplicaServer&) = delete;
+    ReplicaServer& operator=(const ReplicaServer&) = delete;
+
+    std::uint16_t port() const { return http_.port(); }
+    /** Empty, or what is wrong with the command. */
+    std::string command(const std::string& name, const nlohmann::json& body);
+    nlohmann::json books();
+    void resetBooks() { replica_.resetBooks(); }
+
+private:
+    struct Run;
+
+    void receive(const std::shared_ptr<HttpExchange>& exchange);
+    void search(const std::shared_ptr<HttpExchange>& exchange);
+    void submit(const std::shared_ptr<HttpExchange>& exchange);
+    void cancel(HttpExchange& exchange);
+    void start(Replica::Work work, const std::shared_ptr<HttpExchange>& exchange, HttpReply reply);
+    void finish(const std::shared_ptr<Run>& run, HttpReply reply, bool answered);
+    bool refuse(HttpExchange& exchange);
+    void restart(const nlohmann::json& body);
+    std::vector<HttpHeader> stateHeaders() const;
+    nlohmann::json health();
+
+    boost::asio::io_context& ioContext_;
+    Replica replica_;
+    std::map<std::uint64_t, std::shared_ptr<Run>> runs_;
+    std::uint64_t lastRun_ = 0;
+    double shedPercent_ = 0;
+    unsigned garbageAnswers_ = 0;
+    bool stalled_ = false;
+    /** What /health says instead of the truth, field by field. */
+    nlohmann::json healthOverride_ = nlohmann::json::object();
+    std::string servedIndexText_;
+    // Last, since its destructor ends connections, which calls back into the members above.
+    HttpServer http_;
+};
+
+} // namespace banyancroft::tools
