--- a/libs/admission/include/admission/authority.h
+++ b/libs/base/include/base/authority.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include "base/outcome.h"
 #include "base/time.h"
 
 #include <cstdint>
 
-namespace banyancroft::admission {
+namespace banyancroft {
 
-/** How much of an upstream's limit this daemon may use at this moment (design page, section 4). */
+/** How much of an upstream's limit a daemon may use at this moment. */
 enum class Share : std::uint8_t {
     /** Not the home, or no authority: send nothing. */
     None,
@@ -18,6 +17,7 @@
     Full,
 };
 
+/** A home's right to send to one upstream. */
 struct Authority {
     Share share = Share::None;
     /** The authority ends by itself at this time; checked before each send. */
@@ -26,16 +26,8 @@
      */
     unsigned inheritedInFlight = 0;
     TimePoint inheritedUntil {};
-    /** Why work is refused while the share is None; WrongHome when another daemon is the home. */
-    Reason refusal = Reason::NoAuthority;
-};
 
-/**
- * Part of a limit that a share allows. The parts of UncertainHalf and TakeoverRest never sum to more
- * than `slots`, also when only one of the two homes takes the upstream for cold.
- * @param limit requests at a time that the upstream bears now, at most `slots`
- * @param slots requests at a time that the upstream bears when warm
- */
-unsigned partOfLimit(Share share, unsigned limit, unsigned slots, bool cold);
+    bool operator==(const Authority&) const = default;
+};
 
-} // namespace banyancroft::admission
+} // namespace banyancroft
--- a/libs/home/include/home/home.h
+++ b/libs/home/include/home/home.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "admission/authority.h"
+#include "base/authority.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "config/document.h"
@@ -17,8 +17,8 @@
 
 namespace banyancroft::home {
 
-using admission::Authority;
-using admission::Share;
+using banyancroft::Authority;
+using banyancroft::Share;
 
 /** An upstream that this home may have to drive, with all that its decisions need. */
 struct Target {
--- a/libs/home/tests/test_home.cpp
+++ b/libs/home/tests/test_home.cpp
@@ -22,7 +22,7 @@
         target.slots = 3;
         target.connections = 6;
         target.coldLimit = 1;
-        target.authority = { Share::Full, BootClock::now() + 1h, 0, {}, Reason::NoAuthority };
+        target.authority = { Share::Full, BootClock::now() + 1h, 0, {} };
         policy.warmupAnswersPerStep = 2;
         upstream.onSearch
             = [this](const auto&) { return FakeUpstream::Answer { upstream.ok("{\"a\":1}\n") }; };
