--- a/libs/admission/include/admission/authority.h
+++ b/libs/admission/include/admission/share.h
@@ -4,9 +4,6 @@
 
 namespace banyancroft::admission {
 
-using banyancroft::Authority;
-using banyancroft::Share;
-
 /**
  * Part of a limit that a share allows. The parts of UncertainHalf and TakeoverRest never sum to more
  * than `slots`, also when only one of the two homes takes the upstream for cold.
--- a/libs/admission/src/upstream_admission.cpp
+++ b/libs/admission/src/upstream_admission.cpp
@@ -1,5 +1,7 @@
 #include "admission/upstream_admission.h"
 
+#include "admission/share.h"
+
 #include <algorithm>
 
 namespace banyancroft::admission {
@@ -76,9 +78,7 @@
 {
     if (stopped_ != Reason::None)
         return stopped_;
-    if (authority_.share == Share::None)
-        return authority_.refusal;
-    if (now >= authority_.validUntil)
+    if (authority_.share == Share::None || now >= authority_.validUntil)
         return Reason::NoAuthority;
     if (reportedDraining_)
         return Reason::UpstreamDraining;
--- a/libs/base/include/base/authority.h
+++ b/libs/base/include/base/authority.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "base/outcome.h"
 #include "base/time.h"
 
 #include <cstdint>
@@ -27,8 +26,6 @@
      */
     unsigned inheritedInFlight = 0;
     TimePoint inheritedUntil {};
-    /** Why work is refused while the share is None; WrongHome when another daemon is the home. */
-    Reason refusal = Reason::NoAuthority;
 
     bool operator==(const Authority&) const = default;
 };
