--- a/libs/query/src/json_text.cpp
+++ b/libs/query/src/json_text.cpp
@@ -18,10 +18,11 @@
     for (std::size_t i = 0; i < text.size(); ++i) {
         const char character = text[i];
         if (inString) {
-            if (character == '\\')
+            if (character == '\\') {
                 ++i;
-            else if (character == '"')
+            } else if (character == '"') {
                 inString = false;
+            }
             continue;
         }
         if (character == '"') {
--- a/libs/query/src/statement.cpp
+++ b/libs/query/src/statement.cpp
@@ -23,14 +23,15 @@
     return std::visit(
         [](auto content) -> std::string {
             using Content = decltype(content);
-            if constexpr (std::is_same_v<Content, bool>)
+            if constexpr (std::is_same_v<Content, bool>) {
                 return content ? "on" : "off";
-            else if constexpr (std::is_same_v<Content, Duration>)
+            } else if constexpr (std::is_same_v<Content, Duration>) {
                 return formatDuration(content);
-            else if constexpr (std::is_same_v<Content, double>)
+            } else if constexpr (std::is_same_v<Content, double>) {
                 return formatNumber(content);
-            else
+            } else {
                 return std::to_string(content);
+            }
         },
         value);
 }
@@ -137,10 +138,11 @@
 {
     return std::visit(
         [](const auto& content) -> std::optional<config::Edit> {
-            if constexpr (std::is_constructible_v<config::Edit, decltype(content)>)
+            if constexpr (std::is_constructible_v<config::Edit, decltype(content)>) {
                 return config::Edit(content);
-            else
+            } else {
                 return std::nullopt;
+            }
         },
         statement);
 }
--- a/libs/query/tests/test_round_trip.cpp
+++ b/libs/query/tests/test_round_trip.cpp
@@ -12,7 +12,7 @@
 {
     return rc::gen::map(rc::gen::pair(rc::gen::elementOf(std::string("abcXYZ019")),
                             rc::gen::container<std::string>(rc::gen::elementOf(std::string("abz019._-")))),
-        [](std::pair<char, std::string> parts) { return parts.first + parts.second.substr(0, 40); });
+        [](const std::pair<char, std::string>& parts) { return parts.first + parts.second.substr(0, 40); });
 }
 
 rc::Gen<std::string> comparison()
