Count an upstream that never replies as failing

An upstream that swallows requests was asked by every query once its lateness had decayed, since losing to a hedge counted as no failure. Two sub-requests lost to hedges or deadlines, with no reply at all in between, now count as failing, so that it gets only trials: at most 7 of 100 queries over 10 s in UpstreamThatNeverRepliesGetsOnlyTrials, which fails without the rule. One lost reply of an upstream that answers others no longer counts.

Among upstreams that are all cold or all failing the less loaded one in the own zone is taken instead of a random one.

SlotOfAnUpstreamThatLeftIsReusedLateAndClean fails when slots are reused at once.

--- a/libs/search/include/search/cluster_state.h
+++ b/libs/search/include/search/cluster_state.h
@@ -65,6 +65,9 @@
     std::uint32_t lateness = 0;
     TimePoint lateAt {};
 
+    /** Last reply to any sub-request. */
+    TimePoint repliedAt {};
+
     /** Not chosen before this time while others serve. */
     TimePoint avoidUntil {};
     /** Next sub-request that tries a cold, failing or outdated upstream, and the wait after it. */
@@ -137,10 +140,10 @@
     void startTrial(UpstreamSlot slot, TimePoint now);
     /** Learns from a reply to a sub-request at the given snapshot. */
     void observe(UpstreamSlot slot, const wire::SubreplyItem& reply, const Snapshot& asked, TimePoint now);
-    /** Notes that no reply came in time. */
-    void observeNoReply(UpstreamSlot slot, TimePoint now);
+    /** Notes that no reply came in time; a failure if no other reply came since `sentAt` either. */
+    void observeNoReply(UpstreamSlot slot, TimePoint sentAt, TimePoint now);
     /** Notes that a hedge answered first. */
-    void observeOvertaken(UpstreamSlot slot, TimePoint now);
+    void observeOvertaken(UpstreamSlot slot, TimePoint sentAt, TimePoint now);
 
     /** Requests estimated to be queued and running at the upstream. */
     std::uint32_t estimatedLoad(UpstreamSlot slot, TimePoint now) const;
--- a/libs/search/src/cluster_state.cpp
+++ b/libs/search/src/cluster_state.cpp
@@ -355,6 +355,7 @@
 {
     auto& state = upstreams_[slot];
     if (fromHome(reply)) {
+        state.repliedAt = now;
         state.reportedLoad = reply.load;
         state.sentSinceReport = 0;
         state.loadAt = now;
@@ -406,13 +407,16 @@
     }
 }
 
-void ClusterState::observeNoReply(UpstreamSlot slot, TimePoint now)
+void ClusterState::observeNoReply(UpstreamSlot slot, TimePoint sentAt, TimePoint now)
 {
-    observeFailure(upstreams_[slot], 1, now);
+    // An upstream that answers others is slow or lost one reply; it has not failed.
+    if (upstreams_[slot].repliedAt < sentAt)
+        observeFailure(upstreams_[slot], 1, now);
 }
 
-void ClusterState::observeOvertaken(UpstreamSlot slot, TimePoint now)
+void ClusterState::observeOvertaken(UpstreamSlot slot, TimePoint sentAt, TimePoint now)
 {
+    observeNoReply(slot, sentAt, now);
     auto& state = upstreams_[slot];
     state.lateness = std::min(estimatedLateness(slot, now) + 1, maxLateness);
     state.lateAt = now;
--- a/libs/search/src/replica_selector.cpp
+++ b/libs/search/src/replica_selector.cpp
@@ -136,7 +136,7 @@
     if (readyCount > 0)
         return { better(query, std::span(ready).first(readyCount), now), false, Reason::None };
     if (otherCount > 0)
-        return { other[draw(static_cast<std::uint32_t>(otherCount))], false, Reason::None };
+        return { better(query, std::span(other).first(otherCount), now), false, Reason::None };
     return { noSlot, false, reasonForNone(query) };
 }
 
--- a/libs/search/src/search_coordinator.cpp
+++ b/libs/search/src/search_coordinator.cpp
@@ -293,7 +293,7 @@
         hedgePolicy.observe(now - other.sentAt);
         if (subrequest.kind == SubrequestKind::Hedge) {
             ++counters_.hedgesWon;
-            cluster_.observeOvertaken(other.upstream, now);
+            cluster_.observeOvertaken(other.upstream, other.sentAt, now);
         }
         cancel(loser, now, actions);
     }
@@ -513,7 +513,7 @@
                 if (pending == noSlot || now - subrequests_[pending].sentAt < late)
                     continue;
                 hedgePolicy.observe(now - subrequests_[pending].sentAt);
-                cluster_.observeNoReply(subrequests_[pending].upstream, now);
+                cluster_.observeNoReply(subrequests_[pending].upstream, subrequests_[pending].sentAt, now);
             }
         }
         if (group.phase != GroupPhase::Answered)
--- a/libs/search/tests/test_selection.cpp
+++ b/libs/search/tests/test_selection.cpp
@@ -53,6 +53,54 @@
     BOOST_TEST(choices["g0-a"] < 70);
 }
 
+// An upstream that swallows requests would cost every query that asks it the wait before a hedge.
+BOOST_AUTO_TEST_CASE(UpstreamThatNeverRepliesGetsOnlyTrials)
+{
+    Fixture f(1);
+    int asked = 0;
+    for (int i = 0; i < 100; ++i) {
+        f.begin();
+        while (!f.actions.finished) {
+            for (const auto& item : f.sends()) {
+                if (item.upstream->str() == "g0-a") {
+                    ++asked;
+                } else {
+                    f.reply(Fixture::done(item, 7));
+                }
+            }
+            if (!f.actions.finished)
+                f.timer();
+        }
+        f.actions.clear();
+        f.now += 100ms;
+    }
+    // Two failures, then trials after 0.25 s, 0.5 s, 1 s, 2 s and 4 s.
+    BOOST_TEST(asked >= 2);
+    BOOST_TEST(asked <= 7);
+}
+
+// State or replies of an upstream that left credited to another one that takes its place in the table.
+BOOST_AUTO_TEST_CASE(SlotOfAnUpstreamThatLeftIsReusedLateAndClean)
+{
+    Fixture f(1);
+    auto& upstreams = f.configuration.services[0].groups[0].upstreams;
+    const auto slot = *f.cluster.findUpstream(UpstreamId("g0-a"));
+    f.learn("g0-a", 9, true, { { 7 } });
+    upstreams[0].id = UpstreamId("g0-x");
+    f.cluster.apply(f.configuration, f.now);
+    BOOST_TEST(!f.cluster.findUpstream(UpstreamId("g0-a")).has_value());
+    upstreams[1].id = UpstreamId("g0-y");
+    f.cluster.apply(f.configuration, f.now);
+    BOOST_TEST(*f.cluster.findUpstream(UpstreamId("g0-y")) != slot);
+    BOOST_TEST(f.cluster.upstreamId(slot) == UpstreamId("g0-a"));
+    f.now += ClusterState::slotQuarantine;
+    upstreams[2].id = UpstreamId("g0-z");
+    f.cluster.apply(f.configuration, f.now);
+    BOOST_TEST(*f.cluster.findUpstream(UpstreamId("g0-z")) == slot);
+    BOOST_TEST(!f.cluster.upstream(slot).cold);
+    BOOST_TEST(!f.cluster.upstream(slot).indexes.known());
+}
+
 // A query pinned to a version that a group does not serve, or to an older one than all serve.
 BOOST_AUTO_TEST_CASE(PinIsTheNewestVersionServedInEveryGroup)
 {
@@ -81,8 +129,10 @@
     }
     BOOST_TEST(f.cluster.chooseSnapshot("all")->snapshot.index.value == 5U);
     for (const std::string name : { "a", "b", "c", "d" }) {
-        for (int i = 0; i < 2; ++i)
-            f.cluster.observeNoReply(*f.cluster.findUpstream(UpstreamId("g1-" + name)), f.now);
+        for (int i = 0; i < 2; ++i) {
+            f.cluster.observeNoReply(
+                *f.cluster.findUpstream(UpstreamId("g1-" + name)), f.now + 1ms, f.now + 1ms);
+        }
     }
     BOOST_TEST(f.cluster.chooseSnapshot("all")->snapshot.index.value == 6U);
 }
