Choose at random again among failing or outdated upstreams

Taking the own zone first among upstreams that all fail or serve another version asked the same one over and over, so that nothing was learnt of the others. Cold upstreams are still compared by load and zone.

--- a/libs/search/src/replica_selector.cpp
+++ b/libs/search/src/replica_selector.cpp
@@ -135,9 +135,12 @@
         return { trial, true, Reason::None };
     if (readyCount > 0)
         return { better(query, std::span(ready).first(readyCount), now), false, Reason::None };
-    if (otherCount > 0)
+    if (otherCount == 0)
+        return { noSlot, false, reasonForNone(query) };
+    if (bestOther == Standing::Cold)
         return { better(query, std::span(other).first(otherCount), now), false, Reason::None };
-    return { noSlot, false, reasonForNone(query) };
+    // What is known of these is likely out of date. A random one finds out which of them answers again.
+    return { other[draw(static_cast<std::uint32_t>(otherCount))], false, Reason::None };
 }
 
 } // namespace banyancroft::search
