--- a/banyancroftd/main.cpp
+++ b/banyancroftd/main.cpp
@@ -81,7 +81,7 @@
 // Flags go before environment variables, which go before defaults.
 std::string settingOf(const FlagBinding& binding, const GivenFlags& given)
 {
-    const std::string value = absl::GetFlag(*binding.flag);
+    std::string value = absl::GetFlag(*binding.flag);
     if (given.contains(binding.name))
         return value;
     std::string variable = "BANYANCROFT_";
--- a/libs/claims/src/claims.cpp
+++ b/libs/claims/src/claims.cpp
@@ -193,7 +193,8 @@
         ++recording->attempts;
         store_.compareAndSwap(
             { recording->held.storeKey, recording->held.revision, toJson(recording->final), {} },
-            [self = shared_from_this(), recording](std::optional<platform::SwapResult> result, const Error&) {
+            [self = shared_from_this(), recording](
+                const std::optional<platform::SwapResult>& result, const Error&) {
                 // The key is written by its holder only, so a swap that found another revision found the
                 // holder's own earlier write whose reply was lost, or a later request that built on it.
                 if (result || self->stopped_ || recording->attempts >= maxRecordAttempts)
--- a/libs/daemon/src/configuration_driver.cpp
+++ b/libs/daemon/src/configuration_driver.cpp
@@ -26,7 +26,7 @@
 
 void ConfigurationDriver::onPeerDocument(std::string_view text) { adopt(text, "peer"); }
 
-void ConfigurationDriver::edit(const config::Edit&, std::function<void(CommandResult)> callback)
+void ConfigurationDriver::edit(const config::Edit&, const std::function<void(CommandResult)>& callback)
 {
     callback({ { ErrorKind::Unavailable, "edits are not wired yet", "write the document to the store" },
         false, {} });
--- a/libs/daemon/src/configuration_driver.h
+++ b/libs/daemon/src/configuration_driver.h
@@ -31,7 +31,7 @@
     void onPeerDocument(std::string_view text);
 
     /** Carries out an operator's edit of the document. */
-    void edit(const config::Edit& edit, std::function<void(CommandResult)> callback);
+    void edit(const config::Edit& edit, const std::function<void(CommandResult)>& callback);
 
     /** JSON text of the document in force; empty when none is known. */
     const std::string& text() const { return text_; }
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -143,8 +143,8 @@
         std::vector<Worker*> all;
         for (unsigned index = 0; index < settings_.trafficThreads; ++index) {
             Worker::Hooks hooks;
-            hooks.onHttp = [this, index](HttpRequest request, HttpServer::Respond respond) {
-                services_[index]->handle(std::move(request), std::move(respond));
+            hooks.onHttp = [this, index](const HttpRequest& request, HttpServer::Respond respond) {
+                services_[index]->handle(request, std::move(respond));
             };
             hooks.claim = [this, index](const ServiceId& service, const IdempotencyKey& key,
                               std::string fingerprint, TimePoint deadline,
@@ -170,17 +170,15 @@
         QueryService::Hooks hooks;
         hooks.ready = [this] { return ready_.load(); };
         hooks.metricsPage = [this] { return metrics_.write(); };
-        hooks.command = [this, &worker](
-                            query::Statement statement, std::function<void(CommandResult)> callback) {
-            boost::asio::post(ioContext_,
-                [this, &worker, statement = std::move(statement), callback = std::move(callback)]() mutable {
-                    runCommand(std::move(statement), [&worker, callback](CommandResult result) {
-                        worker.post([callback, result = std::move(result)]() mutable {
-                            callback(std::move(result));
-                        });
-                    });
-                });
-        };
+        hooks.command
+            = [this, &worker](query::Statement statement, std::function<void(CommandResult)> callback) {
+                  boost::asio::post(ioContext_,
+                      [this, &worker, statement = std::move(statement), callback = std::move(callback)] {
+                          control_->runCommand(statement, [&worker, callback](CommandResult result) {
+                              worker.post([callback, result = std::move(result)] { callback(result); });
+                          });
+                      });
+              };
         return std::make_unique<QueryService>(
             worker.entry(), traces_, *queryMetrics_, settings_, randomNumber(), std::move(hooks));
     }
@@ -188,7 +186,7 @@
     void makeControl(const std::string& ownAddress)
     {
         Control::Hooks hooks;
-        hooks.onRouting = [this](RoutingTablePointer table) { publish(std::move(table)); };
+        hooks.onRouting = [this](const RoutingTablePointer& table) { publish(table); };
         hooks.onAuthority = [this](const UpstreamId& upstream, const Authority& authority) {
             Worker& owner = workers_.front()->ownerOf(upstream);
             owner.post([&owner, upstream, authority] { owner.home().setAuthority(upstream, authority); });
@@ -234,8 +232,8 @@
         hooks.onMessage
             = [this, vm, isV6](const std::shared_ptr<PeerConnection>& connection, wire::Message message) {
                   if (*vm)
-                      return control_->onMessage(
-                          **vm, std::move(message), [weak = std::weak_ptr(connection)](wire::Message reply) {
+                      return control_->onMessage(**vm, std::move(message),
+                          [weak = std::weak_ptr(connection)](const wire::Message& reply) {
                               if (auto target = weak.lock())
                                   target->send(reply);
                           });
@@ -300,7 +298,7 @@
         return reply;
     }
 
-    void publish(RoutingTablePointer table)
+    void publish(const RoutingTablePointer& table)
     {
         const bool newDocument = !published_ || published_->document != table->document;
         published_ = table;
@@ -327,11 +325,7 @@
                         continue;
                     home::Target target { upstream, service.id, service.slots, service.connections,
                         service.coldLimit, serving, control_->authority(upstream.id) };
-                    const Worker* owner = &workers_.front()->ownerOf(upstream.id);
-                    for (std::size_t index = 0; index < workers_.size(); ++index) {
-                        if (workers_[index].get() == owner)
-                            targets[index].push_back(std::move(target));
-                    }
+                    targets[workers_.front()->ownerOf(upstream.id).index()].push_back(std::move(target));
                 }
             }
         }
@@ -363,11 +357,6 @@
         }
     }
 
-    void runCommand(query::Statement statement, std::function<void(CommandResult)> callback)
-    {
-        control_->runCommand(std::move(statement), std::move(callback));
-    }
-
     void scheduleReadiness()
     {
         ready_ = !stopping_ && control_->serving();
--- a/libs/daemon/src/membership_driver.cpp
+++ b/libs/daemon/src/membership_driver.cpp
@@ -34,7 +34,7 @@
     return AvailabilityZone(std::string(key));
 }
 
-MembershipDriver::MembershipDriver(platform::Store& store, membership::Settings settings, Hooks hooks)
+MembershipDriver::MembershipDriver(platform::Store& store, const membership::Settings& settings, Hooks hooks)
     : store_(store)
     , settings_(settings)
     , memberPrefix_(std::string(zonePrefix) + settings.zone.str() + "/member/")
@@ -60,7 +60,7 @@
     };
 }
 
-void MembershipDriver::run(membership::Actions actions)
+void MembershipDriver::run(const membership::Actions& actions)
 {
     for (const auto& action : actions)
         std::visit([this](const auto& typed) { perform(typed); }, action);
--- a/libs/daemon/src/membership_driver.h
+++ b/libs/daemon/src/membership_driver.h
@@ -41,7 +41,7 @@
         std::function<void()> onHandOverDone;
     };
 
-    MembershipDriver(platform::Store& store, membership::Settings settings, Hooks hooks);
+    MembershipDriver(platform::Store& store, const membership::Settings& settings, Hooks hooks);
     ~MembershipDriver();
 
     membership::Membership& membership() { return membership_; }
@@ -49,7 +49,7 @@
     const membership::ZoneViews& views() const { return views_; }
 
     /** Carries out actions that a direct call of membership() returned. */
-    void run(membership::Actions actions);
+    void run(const membership::Actions& actions);
     /** Handles a change of a key below zonePrefix that a watch or listing showed. */
     void onStoreValue(const platform::KeyValue& value);
     /** Takes a view that a peer sent. */
--- a/libs/daemon/src/query_service.cpp
+++ b/libs/daemon/src/query_service.cpp
@@ -116,14 +116,14 @@
 {
 }
 
-void QueryService::handle(HttpRequest request, HttpServer::Respond respond)
+void QueryService::handle(const HttpRequest& request, HttpServer::Respond respond)
 {
     metrics_.requests.add();
     const std::string_view target = request.target;
     if (target == "/v1/query") {
         if (request.method != "POST")
             return respond(plain(405, "send the statement by POST\n"));
-        return handleStatement(std::move(request), std::move(respond));
+        return handleStatement(request, std::move(respond));
     }
     if (request.method != "GET")
         return respond(plain(405, "use GET here, or POST /v1/query\n"));
@@ -150,7 +150,7 @@
     return sameSecret(value, settings_.operatorToken);
 }
 
-void QueryService::handleStatement(HttpRequest request, HttpServer::Respond respond)
+void QueryService::handleStatement(const HttpRequest& request, HttpServer::Respond respond)
 {
     auto call = std::make_shared<Call>();
     call->respond = std::move(respond);
@@ -208,7 +208,7 @@
     request.requireAll = statement.requireAll;
     request.ownZone = settings_.zone;
     request.traceparent = call->trace.traceparent();
-    entry_.search(std::move(request), [this, call](search::Answer answer) {
+    entry_.search(std::move(request), [this, call](const search::Answer& answer) {
         const bool refused = answer.refusal != Reason::None;
         traces_.setRecord(call->trace.traceId, explainJson(answer, call->statement, call->elapsed()));
         finish(call, refused ? 503 : 200, toJson(answer, call->trace.traceId), refused || !answer.complete);
@@ -234,7 +234,7 @@
             return finish(call, 400, errorJson(error, call->trace.traceId), true);
         }
     }
-    entry_.submit(std::move(submit), [this, call](SubmitResult result) {
+    entry_.submit(std::move(submit), [this, call](const SubmitResult& result) {
         traces_.setRecord(call->trace.traceId, explainJson(result, call->statement, call->elapsed()));
         if (result.unknownOperation) {
             const Error error { ErrorKind::NotFound, "the operation is not in the configuration in force",
@@ -267,7 +267,7 @@
 {
     call->spanName = "command";
     metrics_.commands.add();
-    hooks_.command(std::move(statement), [this, call](CommandResult result) {
+    hooks_.command(std::move(statement), [this, call](const CommandResult& result) {
         log(LogLevel::Info, "command", "command finished",
             { { "trace", call->trace.traceId }, { "statement", call->statement },
                 { "error", std::string(toString(result.error.kind)) } });
--- a/libs/daemon/src/query_service.h
+++ b/libs/daemon/src/query_service.h
@@ -40,13 +40,13 @@
     QueryService(Entry& entry, telemetry::TraceRing& traces, QueryMetrics metrics, const Settings& settings,
         std::uint64_t seed, Hooks hooks);
 
-    void handle(HttpRequest request, HttpServer::Respond respond);
+    void handle(const HttpRequest& request, HttpServer::Respond respond);
 
 private:
     struct Call;
     using CallPointer = std::shared_ptr<Call>;
 
-    void handleStatement(HttpRequest request, HttpServer::Respond respond);
+    void handleStatement(const HttpRequest& request, HttpServer::Respond respond);
     void run(const CallPointer& call, const query::Search& statement);
     void run(const CallPointer& call, const query::Submit& statement);
     void run(const CallPointer& call, const query::Explain& statement);
--- a/libs/daemon/src/worker.cpp
+++ b/libs/daemon/src/worker.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-Worker::Worker(std::size_t index, wire::Hello hello, std::string ownAddress, std::uint64_t seed,
+Worker::Worker(std::size_t index, const wire::Hello& hello, std::string ownAddress, std::uint64_t seed,
     HttpLimits limits, EntryMetrics metrics, Hooks hooks)
     : workGuard_(boost::asio::make_work_guard(ioContext_))
     , index_(index)
--- a/libs/daemon/src/worker.h
+++ b/libs/daemon/src/worker.h
@@ -33,7 +33,7 @@
         std::function<void(const std::string& address, wire::Message)> onControlMessage;
     };
 
-    Worker(std::size_t index, wire::Hello hello, std::string ownAddress, std::uint64_t seed,
+    Worker(std::size_t index, const wire::Hello& hello, std::string ownAddress, std::uint64_t seed,
         HttpLimits limits, EntryMetrics metrics, Hooks hooks);
     ~Worker();
 
@@ -48,6 +48,7 @@
     void post(std::function<void()> function);
     boost::asio::io_context& ioContext() { return ioContext_; }
 
+    std::size_t index() const { return index_; }
     Entry& entry() { return entry_; }
     home::Home& home() { return home_; }
     HttpServer& http() { return http_; }
