Add the bench program

Figures need real daemons under faults. banyancroft-bench starts eight daemons and the emulators on loopback, sends an open-loop load as the platform's load balancer does, injects one of eleven scenarios, compares the rows of each answer with the coverage and versions that it claims, reads the emulators' books, and prints a table row. Exit status 1 names each count that must be zero and is not. HttpClient now tells whether a failed request had left, since only a request that never left may go to another daemon.

--- a/libs/platform/include/platform/http_client.h
+++ b/libs/platform/include/platform/http_client.h
@@ -22,6 +22,12 @@
     std::string body;
 };
 
+/** Why a call has no answer. */
+struct HttpError : Error {
+    /** False: no byte of the request left, so the server cannot have run it. */
+    bool sent = false;
+};
+
 /**
  * HTTP/1.1 calls to one server over pooled connections.
  *
@@ -45,7 +51,7 @@
         std::size_t maxBodyBytes = 8 * 1024 * 1024;
     };
     using Headers = std::vector<std::pair<std::string, std::string>>;
-    using Handler = std::function<void(std::optional<HttpAnswer>, const Error&)>;
+    using Handler = std::function<void(std::optional<HttpAnswer>, const HttpError&)>;
     using ChunkHandler = std::function<void(std::string_view)>;
 
     HttpClient(boost::asio::io_context& ioContext, Options options);
--- a/libs/platform/src/http_client.cpp
+++ b/libs/platform/src/http_client.cpp
@@ -112,17 +112,18 @@
         Duration timeout, HttpClient::ChunkHandler onChunk, std::function<void(const Error&)> onEnd)
     {
         onChunk_ = std::move(onChunk);
-        handler_ = [onEnd = std::move(onEnd)](auto, const Error& reason) { onEnd(reason); };
+        handler_ = [onEnd = std::move(onEnd)](auto, const HttpError& reason) { onEnd(reason); };
         begin(timeout);
     }
 
     /** Ends the call; its handler runs with the reason unless one was not set. */
     void fail(ErrorKind kind, const std::string& message)
     {
-        finish(std::nullopt,
-            { kind, client_->options_.address + ":" + std::to_string(client_->options_.port) + ": " + message,
-                kind == ErrorKind::MalformedMessage ? "check that the address is that of the service"
-                                                    : "check that the service runs and can be reached" });
+        Error error { kind,
+            client_->options_.address + ":" + std::to_string(client_->options_.port) + ": " + message,
+            kind == ErrorKind::MalformedMessage ? "check that the address is that of the service"
+                                                : "check that the service runs and can be reached" };
+        finish(std::nullopt, { std::move(error), sent_ });
     }
 
     void abandon()
@@ -181,6 +182,7 @@
 
     void write()
     {
+        sent_ = true;
         http::async_write(socket_, request_, [self = shared_from_this()](error_code failure, std::size_t) {
             if (self->done_)
                 return;
@@ -274,7 +276,7 @@
         fail(isMalformed(failure) ? ErrorKind::MalformedMessage : ErrorKind::Unavailable, failure.message());
     }
 
-    void finish(std::optional<HttpAnswer> answer, const Error& reason)
+    void finish(std::optional<HttpAnswer> answer, const HttpError& reason)
     {
         if (done_)
             return;
@@ -298,6 +300,7 @@
     std::array<char, 16 * 1024> chunk_ {};
     HttpClient::Handler handler_;
     HttpClient::ChunkHandler onChunk_;
+    bool sent_ = false;
     bool done_ = false;
 };
 
--- /dev/null
+++ b/tools/bench/src/child.cpp
@@ -0,0 +1,141 @@
+#include "child.h"
+
+#include <absl/cleanup/cleanup.h>
+
+#include <fcntl.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+// Required by posix_spawn and declared by no header.
+extern char** environ; // NOLINT(readability-redundant-declaration)
+
+namespace banyancroft::tools {
+
+namespace {
+
+constexpr auto pollPeriod = std::chrono::milliseconds(10);
+/** Time that a child has between SIGTERM and SIGKILL when the bench ends. */
+constexpr auto endPatience = std::chrono::seconds(3);
+constexpr int signalExitBase = 128;
+
+} // namespace
+
+Child::Child(const std::vector<std::string>& command, const std::string& logPath, Duration patience)
+{
+    std::array<int, 2> pipe {};
+    if (::pipe2(pipe.data(), O_CLOEXEC) != 0)
+        throw std::runtime_error("cannot create a pipe");
+    const absl::Cleanup closeRead = [&] { ::close(pipe[0]); };
+    {
+        const absl::Cleanup closeWrite = [&] { ::close(pipe[1]); };
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        const absl::Cleanup destroyActions = [&] { posix_spawn_file_actions_destroy(&actions); };
+        posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
+        constexpr mode_t logMode = 0644;
+        posix_spawn_file_actions_addopen(
+            &actions, STDERR_FILENO, logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, logMode);
+        std::vector<char*> arguments;
+        arguments.reserve(command.size() + 1);
+        for (const auto& argument : command)
+            arguments.push_back(const_cast<char*>(argument.c_str()));
+        arguments.push_back(nullptr);
+        if (posix_spawn(&pid_, arguments[0], &actions, nullptr, arguments.data(), environ) != 0) {
+            pid_ = -1;
+            throw std::runtime_error("cannot start " + command[0]);
+        }
+    }
+    try {
+        readReadyLine(pipe[0], patience);
+    } catch (...) {
+        end();
+        throw std::runtime_error(command[0] + " did not get ready; see " + logPath);
+    }
+}
+
+Child::~Child() { end(); }
+
+Child::Child(Child&& other) noexcept
+    : pid_(std::exchange(other.pid_, -1))
+    , readyLine_(std::move(other.readyLine_))
+{
+}
+
+Child& Child::operator=(Child&& other) noexcept
+{
+    end();
+    pid_ = std::exchange(other.pid_, -1);
+    readyLine_ = std::move(other.readyLine_);
+    return *this;
+}
+
+void Child::readReadyLine(int descriptor, Duration patience)
+{
+    const auto deadline = BootClock::now() + patience;
+    while (!readyLine_.ends_with('\n')) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - BootClock::now());
+        pollfd waited { descriptor, POLLIN, 0 };
+        char byte = 0;
+        if (left.count() <= 0 || ::poll(&waited, 1, static_cast<int>(left.count())) <= 0
+            || ::read(descriptor, &byte, 1) != 1)
+            throw std::runtime_error("no ready line");
+        readyLine_.push_back(byte);
+    }
+    readyLine_.pop_back();
+    if (!readyLine_.starts_with("ready "))
+        throw std::runtime_error("no ready line");
+}
+
+std::string Child::readyValue(std::string_view name) const
+{
+    const auto start = readyLine_.find(" " + std::string(name) + "=");
+    if (start == std::string::npos)
+        return {};
+    const auto from = start + name.size() + 2;
+    return readyLine_.substr(from, readyLine_.find(' ', from) - from);
+}
+
+void Child::signal(int number) const
+{
+    if (pid_ > 0)
+        ::kill(pid_, number);
+}
+
+std::optional<int> Child::wait(Duration patience)
+{
+    const auto deadline = BootClock::now() + patience;
+    while (pid_ > 0) {
+        int status = 0;
+        if (::waitpid(pid_, &status, WNOHANG) == pid_) {
+            pid_ = -1;
+            return WIFEXITED(status) ? WEXITSTATUS(status) : signalExitBase + WTERMSIG(status);
+        }
+        if (BootClock::now() >= deadline)
+            return std::nullopt;
+        std::this_thread::sleep_for(pollPeriod);
+    }
+    return 0;
+}
+
+void Child::end()
+{
+    if (pid_ <= 0)
+        return;
+    // A stopped child takes no SIGTERM before it runs again.
+    signal(SIGTERM);
+    signal(SIGCONT);
+    if (wait(endPatience))
+        return;
+    signal(SIGKILL);
+    wait(endPatience);
+}
+
+} // namespace banyancroft::tools
--- /dev/null
+++ b/tools/bench/src/cluster.cpp
@@ -0,0 +1,174 @@
+#include "cluster.h"
+
+#include "config/document_json.h"
+#include "http_call.h"
+#include "platform/etcd_store.h"
+
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+
+namespace banyancroft::tools {
+
+namespace {
+
+constexpr const char* configKey = "/banyancroft/config";
+constexpr const char* vmPrefix = "/platform/vms/";
+constexpr const char* operatorToken = "bench-operator";
+constexpr auto startPatience = std::chrono::seconds(20);
+constexpr auto readyPollPeriod = std::chrono::milliseconds(50);
+
+/** One call of the store that waits for its answer. */
+template <typename Result, typename Start> Result storeCall(std::uint16_t port, const Start& start)
+{
+    boost::asio::io_context ioContext(1);
+    platform::EtcdStore store(ioContext, { .address = "127.0.0.1", .port = port });
+    std::optional<Result> result;
+    Error failure;
+    start(store, [&](std::optional<Result> value, const Error& reason) {
+        result = std::move(value);
+        failure = reason;
+    });
+    ioContext.run();
+    if (!result)
+        throw std::runtime_error("the store did not answer: " + toString(failure));
+    return *result;
+}
+
+} // namespace
+
+Cluster::Cluster(ClusterSettings settings, Endpoints& endpoints)
+    : settings_(std::move(settings))
+    , endpoints_(endpoints)
+    , daemons_(Endpoints::daemons)
+{
+    platform_.emplace(
+        std::vector<std::string> { settings_.platformProgram }, logPath("platform"), startPatience);
+    storePort_ = portOf(platform_->readyValue("http"));
+    platformAdminPort_ = portOf(platform_->readyValue("admin"));
+    upstreams_.emplace(
+        std::vector<std::string> { settings_.upstreamProgram, "--config=" + settings_.configPath,
+            "--ephemeral-ports", "--threads=2", "--service-time=" + settings_.serviceTime,
+            "--seed=" + std::to_string(settings_.seed) },
+        logPath("upstreams"), startPatience);
+    upstreamAdminPort_ = portOf(upstreams_->readyValue("admin"));
+
+    const auto text = adminCall(upstreamAdminPort_, "GET", "/document");
+    Error reason;
+    auto document = config::parseDocument(text, reason);
+    if (!document)
+        throw std::runtime_error(toString(reason));
+    document_ = std::move(*document);
+    writeStore(configKey, text);
+    for (std::size_t daemon = 0; daemon < Endpoints::daemons; ++daemon)
+        writeStore(vmPrefix + vmOf(daemon), R"({"zone":")" + zoneOf(daemon) + R"(","state":"live"})");
+    for (std::size_t daemon = 0; daemon < Endpoints::daemons; ++daemon)
+        startDaemon(daemon);
+}
+
+std::string Cluster::zoneOf(std::size_t daemon) const
+{
+    return document_.zones.at(daemon % document_.zones.size()).id.str();
+}
+
+std::string Cluster::vmOf(std::size_t daemon) const { return "vm-" + std::to_string(daemon + 1); }
+
+void Cluster::startDaemon(std::size_t daemon)
+{
+    std::string seeds;
+    for (const auto& peer : peers_) {
+        if (peer.empty())
+            continue;
+        if (!seeds.empty())
+            seeds += ',';
+        seeds += peer;
+    }
+    std::vector<std::string> command { settings_.daemonProgram, "--vm=" + vmOf(daemon),
+        "--zone=" + zoneOf(daemon), "--listen=127.0.0.1:0", "--peer-listen=127.0.0.1:0",
+        "--store=127.0.0.1:" + std::to_string(storePort_), std::string("--operator-token=") + operatorToken,
+        "--lease=" + settings_.lease };
+    if (!seeds.empty())
+        command.push_back("--seeds=" + seeds);
+    command.insert(command.end(), settings_.daemonFlags.begin(), settings_.daemonFlags.end());
+    daemons_.at(daemon).emplace(command, logPath(vmOf(daemon)), startPatience);
+    peers_.at(daemon) = daemons_[daemon]->readyValue("peer");
+    endpoints_.set(daemon, portOf(daemons_[daemon]->readyValue("http")));
+}
+
+std::optional<int> Cluster::restartDaemon(std::size_t daemon, Duration patience)
+{
+    // The load balancer keeps sending until readiness is off, so the port stays published.
+    auto& child = daemons_.at(daemon).value();
+    child.signal(SIGTERM);
+    const auto status = child.wait(patience);
+    endpoints_.set(daemon, 0);
+    daemons_[daemon].reset();
+    startDaemon(daemon);
+    return status;
+}
+
+void Cluster::killDaemon(std::size_t daemon)
+{
+    daemons_.at(daemon)->signal(SIGKILL);
+    daemons_[daemon]->wait(startPatience);
+    endpoints_.set(daemon, 0);
+    daemons_[daemon].reset();
+}
+
+void Cluster::waitReady(Duration patience)
+{
+    const auto deadline = BootClock::now() + patience;
+    for (std::size_t daemon = 0; daemon < Endpoints::daemons;) {
+        const auto answer = httpCall(endpoints_.port(daemon), "GET", "/readyz");
+        if (answer && answer->status == 200) {
+            ++daemon;
+            continue;
+        }
+        if (BootClock::now() >= deadline) {
+            throw std::runtime_error(vmOf(daemon) + " is not ready: "
+                + (answer ? std::to_string(answer->status) + " " + answer->body : std::string("no answer")));
+        }
+        std::this_thread::sleep_for(readyPollPeriod);
+    }
+}
+
+std::string Cluster::platformAdmin(std::string_view target, const std::string& body) const
+{
+    return adminCall(platformAdminPort_, target == "/books" ? "GET" : "POST", target, body);
+}
+
+std::string Cluster::upstreamAdmin(std::string_view target, const std::string& body) const
+{
+    return adminCall(upstreamAdminPort_, target == "/books" ? "GET" : "POST", target, body);
+}
+
+unsigned Cluster::operate(std::size_t daemon, const std::string& statement) const
+{
+    const auto answer = httpCall(endpoints_.port(daemon), "POST", "/v1/query", statement,
+        { { "Authorization", std::string("Bearer ") + operatorToken } });
+    return answer ? answer->status : 0;
+}
+
+std::uint64_t Cluster::storedVersion() const
+{
+    const auto listing = storeCall<platform::Listing>(
+        storePort_, [](platform::EtcdStore& store, auto callback) { store.get(configKey, callback); });
+    Error reason;
+    const auto document
+        = listing.entries.empty() ? std::nullopt : config::parseDocument(listing.entries[0].value, reason);
+    if (!document)
+        throw std::runtime_error("no configuration at the store: " + toString(reason));
+    return document->version.value;
+}
+
+void Cluster::writeStore(const std::string& key, const std::string& value) const
+{
+    const auto result
+        = storeCall<platform::SwapResult>(storePort_, [&](platform::EtcdStore& store, auto callback) {
+              store.compareAndSwap({ key, {}, value, {} }, callback);
+          });
+    if (!result.swapped)
+        throw std::runtime_error("key " + key + " exists already");
+}
+
+} // namespace banyancroft::tools
--- /dev/null
+++ b/tools/bench/src/cluster.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "child.h"
+#include "config/document.h"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace banyancroft::tools {
+
+/** Ports of the daemons, shared between the thread that starts them and the one that sends load. */
+class Endpoints {
+public:
+    static constexpr std::size_t daemons = 8;
+
+    /** Zero while the daemon is not running. */
+    std::uint16_t port(std::size_t daemon) const { return ports_.at(daemon).load(); }
+    void set(std::size_t daemon, std::uint16_t port) { ports_.at(daemon).store(port); }
+
+private:
+    std::array<std::atomic<std::uint16_t>, daemons> ports_ {};
+};
+
+struct ClusterSettings {
+    std::string daemonProgram;
+    std::string platformProgram;
+    std::string upstreamProgram;
+    /** Configuration document with placeholder ports. */
+    std::string configPath;
+    /** Folder for the standard error of the children. */
+    std::string logFolder;
+    std::string serviceTime;
+    std::string lease;
+    std::uint64_t seed = 1;
+    /** Further flags of the daemons. */
+    std::vector<std::string> daemonFlags;
+};
+
+/**
+ * Eight daemons in the zones of a deployment, the emulators behind them, on loopback and ephemeral
+ * ports. Owned by one thread; ends its children when it goes away. Calls throw std::runtime_error.
+ */
+class Cluster {
+public:
+    Cluster(ClusterSettings settings, Endpoints& endpoints);
+
+    const config::Document& document() const { return document_; }
+    std::string zoneOf(std::size_t daemon) const;
+    std::string vmOf(std::size_t daemon) const;
+
+    void startDaemon(std::size_t daemon);
+    Child& daemon(std::size_t daemon) { return daemons_.at(daemon).value(); }
+    /** SIGTERM, then a new process of the same VM. @return exit status; empty when it did not end */
+    std::optional<int> restartDaemon(std::size_t daemon, Duration patience);
+    /** SIGKILL, without a new process. */
+    void killDaemon(std::size_t daemon);
+    /** Waits until all daemons are ready to serve. */
+    void waitReady(Duration patience);
+
+    std::string platformAdmin(std::string_view target, const std::string& body = {}) const;
+    std::string upstreamAdmin(std::string_view target, const std::string& body = {}) const;
+    /** Statement of an operator. @return HTTP status; zero without an answer */
+    unsigned operate(std::size_t daemon, const std::string& statement) const;
+    /** Version of the configuration at the store. */
+    std::uint64_t storedVersion() const;
+
+private:
+    std::string logPath(const std::string& name) const { return settings_.logFolder + "/" + name + ".log"; }
+    void writeStore(const std::string& key, const std::string& value) const;
+
+    ClusterSettings settings_;
+    Endpoints& endpoints_;
+    std::optional<Child> platform_;
+    std::optional<Child> upstreams_;
+    std::uint16_t storePort_ = 0;
+    std::uint16_t platformAdminPort_ = 0;
+    std::uint16_t upstreamAdminPort_ = 0;
+    config::Document document_;
+    std::array<std::string, Endpoints::daemons> peers_;
+    // Last, so that the daemons end before the emulators.
+    std::vector<std::optional<Child>> daemons_;
+};
+
+} // namespace banyancroft::tools
--- /dev/null
+++ b/tools/bench/src/load_generator.cpp
@@ -0,0 +1,224 @@
+#include "load_generator.h"
+
+#include "platform/http_client.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <memory>
+
+namespace banyancroft::tools {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using platform::HttpClient;
+
+namespace {
+
+/** Longer than any deadline of the load, so that only lost answers end by it. */
+constexpr auto answerPatience = std::chrono::seconds(4);
+constexpr auto readyPollPeriod = std::chrono::milliseconds(100);
+constexpr auto readyPatience = std::chrono::milliseconds(500);
+constexpr std::size_t idleConnections = 64;
+constexpr std::size_t shownFaults = 10;
+constexpr std::size_t shownCharacters = 400;
+
+/** One daemon as the load balancer sees it. */
+struct Backend {
+    std::uint16_t port = 0;
+    bool ready = false;
+    std::unique_ptr<HttpClient> client;
+};
+
+class Generator {
+public:
+    Generator(const std::vector<PlannedRequest>& schedule, const AnswerChecker& checker,
+        const Endpoints& endpoints, TimePoint start)
+        : schedule_(schedule)
+        , checker_(checker)
+        , endpoints_(endpoints)
+        , start_(start)
+        , sendTimer_(ioContext_)
+        , pollTimer_(ioContext_)
+    {
+    }
+
+    LoadResult run()
+    {
+        poll();
+        sendDue();
+        ioContext_.run();
+        return std::move(result_);
+    }
+
+private:
+    bool finished() const { return next_ == schedule_.size() && open_ == 0; }
+
+    void sendDue()
+    {
+        const auto now = BootClock::now();
+        while (next_ < schedule_.size() && start_ + schedule_[next_].at <= now) {
+            ++open_;
+            send(schedule_[next_], schedule_[next_].daemon, 0);
+            ++next_;
+        }
+        if (next_ == schedule_.size())
+            return;
+        sendTimer_.expires_after(start_ + schedule_[next_].at - BootClock::now());
+        sendTimer_.async_wait([this](error_code failure) {
+            if (!failure)
+                sendDue();
+        });
+    }
+
+    void poll()
+    {
+        if (finished())
+            return;
+        for (std::size_t daemon = 0; daemon < Endpoints::daemons; ++daemon)
+            pollOne(daemon);
+        pollTimer_.expires_after(readyPollPeriod);
+        pollTimer_.async_wait([this](error_code failure) {
+            if (!failure)
+                poll();
+        });
+    }
+
+    void pollOne(std::size_t daemon)
+    {
+        auto& backend = backends_[daemon];
+        const auto port = endpoints_.port(daemon);
+        if (port != backend.port) {
+            backend.port = port;
+            backend.ready = port != 0;
+            // The old client stays until the end: its open requests are still to be answered.
+            if (backend.client)
+                retired_.push_back(std::move(backend.client));
+            if (port != 0) {
+                backend.client = std::make_unique<HttpClient>(ioContext_,
+                    HttpClient::Options { .address = "127.0.0.1", .port = port, .maxIdle = idleConnections });
+            }
+        }
+        if (!backend.client)
+            return;
+        backend.client->call(
+            "GET", "/readyz", {}, readyPatience, [this, daemon, port](auto answer, const auto&) {
+                if (backends_[daemon].port == port)
+                    backends_[daemon].ready = answer && answer->status == 200;
+            });
+    }
+
+    /** The first ready daemon from a place on; any running one when none is ready. */
+    Backend* pick(std::uint64_t place)
+    {
+        for (const bool readyOnly : { true, false }) {
+            for (std::size_t step = 0; step < backends_.size(); ++step) {
+                auto& backend = backends_[(place + step) % backends_.size()];
+                if (backend.client && (backend.ready || !readyOnly))
+                    return &backend;
+            }
+        }
+        return nullptr;
+    }
+
+    void send(const PlannedRequest& request, std::uint64_t place, unsigned attempts)
+    {
+        auto* backend = pick(place);
+        if (!backend || attempts == backends_.size()) {
+            ++result_.unserved;
+            return close();
+        }
+        backend->client->call("POST", "/v1/query", request.statement, answerPatience,
+            [this, &request, place, attempts](auto answer, const platform::HttpError& failure) {
+                if (answer)
+                    return receive(request, *answer);
+                if (!failure.sent)
+                    return send(request, place + 1, attempts + 1);
+                cut(request, failure);
+            },
+            { { "Content-Type", "text/plain" } });
+    }
+
+    void receive(const PlannedRequest& request, const platform::HttpAnswer& answer)
+    {
+        const bool search = request.kind == PlannedRequest::Kind::Search;
+        const auto checked = search ? checker_.checkSearch(request.collection, answer.status, answer.body)
+                                    : AnswerChecker::checkSubmit(answer.status, answer.body);
+        const bool done = checked.outcome == CheckedAnswer::Outcome::Done;
+        if (search) {
+            result_.neededSubrequests += checker_.groups(request.collection);
+        } else {
+            auto& key = result_.keys[request.key];
+            ++key.sent;
+            key.done += done ? 1 : 0;
+            key.notRun += checked.outcome == CheckedAnswer::Outcome::NotRun ? 1 : 0;
+        }
+        if (!done)
+            ++result_.reasons[(search ? "search " : "submit ") + checked.reason.substr(0, shownCharacters)];
+        if (checked.outcome == CheckedAnswer::Outcome::Malformed) {
+            ++result_.malformed;
+            fault(request, checked.reason);
+        }
+        if (!checked.falseClaim.empty()) {
+            ++result_.falseClaims;
+            fault(request, checked.falseClaim + " in " + answer.body);
+        }
+        sample(request, done, checked.complete);
+        close();
+    }
+
+    void cut(const PlannedRequest& request, const Error& failure)
+    {
+        ++result_.cut;
+        if (request.kind == PlannedRequest::Kind::Search) {
+            result_.neededSubrequests += checker_.groups(request.collection);
+        } else {
+            ++result_.keys[request.key].sent;
+        }
+        fault(request, toString(failure));
+        sample(request, false, false);
+        close();
+    }
+
+    void sample(const PlannedRequest& request, bool done, bool complete)
+    {
+        result_.samples.push_back({ request.at, BootClock::now() - start_ - request.at,
+            request.kind == PlannedRequest::Kind::Search, done, complete });
+    }
+
+    void fault(const PlannedRequest& request, const std::string& text)
+    {
+        if (result_.faults.size() < shownFaults)
+            result_.faults.push_back(request.statement + ": " + text.substr(0, shownCharacters));
+    }
+
+    void close()
+    {
+        --open_;
+        if (finished())
+            pollTimer_.cancel();
+    }
+
+    const std::vector<PlannedRequest>& schedule_;
+    const AnswerChecker& checker_;
+    const Endpoints& endpoints_;
+    TimePoint start_;
+    asio::io_context ioContext_ { 1 };
+    asio::steady_timer sendTimer_;
+    asio::steady_timer pollTimer_;
+    std::array<Backend, Endpoints::daemons> backends_;
+    std::vector<std::unique_ptr<HttpClient>> retired_;
+    std::size_t next_ = 0;
+    std::size_t open_ = 0;
+    LoadResult result_;
+};
+
+} // namespace
+
+LoadResult runLoad(const std::vector<PlannedRequest>& schedule, const AnswerChecker& checker,
+    const Endpoints& endpoints, TimePoint start)
+{
+    return Generator(schedule, checker, endpoints, start).run();
+}
+
+} // namespace banyancroft::tools
--- /dev/null
+++ b/tools/bench/src/load_schedule.cpp
@@ -0,0 +1,69 @@
+#include "load_schedule.h"
+
+#include <algorithm>
+#include <random>
+
+namespace banyancroft::tools {
+
+namespace {
+
+/** Gap between the two requests with one key: within it the first is usually still running. */
+constexpr auto doubledGap = std::chrono::milliseconds(5);
+/** More rows than any collection has, so that no answer is cut by it. */
+constexpr const char* searchTail = " limit 10000";
+/** Earlier collections are searched more often, each half as often as the one before. */
+constexpr double collectionDecay = 0.5;
+
+const config::Operation* nonIdempotentOperation(const config::Document& document)
+{
+    const auto found = std::ranges::find_if(
+        document.operations, [](const auto& operation) { return operation.nonIdempotent; });
+    return found == document.operations.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+std::vector<PlannedRequest> makeSchedule(const config::Document& document, const LoadSettings& settings)
+{
+    std::mt19937_64 random(settings.seed);
+    std::exponential_distribution<double> gap(settings.rate);
+    std::uniform_real_distribution<double> percent(0, 100);
+    std::vector<double> weights;
+    double weight = 1;
+    for (std::size_t count = 0; count < document.collections.size(); ++count) {
+        weights.push_back(weight);
+        weight *= collectionDecay;
+    }
+    std::discrete_distribution<std::size_t> collection(weights.begin(), weights.end());
+    const auto* operation = nonIdempotentOperation(document);
+
+    std::vector<PlannedRequest> schedule;
+    std::chrono::duration<double> at { gap(random) };
+    std::uint64_t submits = 0;
+    for (; at < settings.length; at += std::chrono::duration<double>(gap(random))) {
+        PlannedRequest request;
+        request.at = std::chrono::duration_cast<Duration>(at);
+        request.daemon = random();
+        if (!operation || percent(random) >= settings.submitPercent) {
+            request.collection = collection(random);
+            request.statement = "search " + document.collections[request.collection].name + searchTail;
+            schedule.push_back(std::move(request));
+            continue;
+        }
+        request.kind = PlannedRequest::Kind::Submit;
+        request.key = "bench-" + std::to_string(settings.seed) + "-" + std::to_string(++submits);
+        request.statement = "submit " + operation->name + " key \"" + request.key
+            + "\" {\"number\":" + std::to_string(submits) + "}";
+        const bool doubled = percent(random) < settings.doubledPercent;
+        schedule.push_back(request);
+        if (doubled) {
+            request.at += doubledGap;
+            ++request.daemon;
+            schedule.push_back(std::move(request));
+        }
+    }
+    std::ranges::stable_sort(schedule, {}, &PlannedRequest::at);
+    return schedule;
+}
+
+} // namespace banyancroft::tools
--- /dev/null
+++ b/tools/bench/src/main.cpp
@@ -0,0 +1,165 @@
+#include "cluster.h"
+#include "command_line/command_line.h"
+#include "load_generator.h"
+#include "load_schedule.h"
+#include "report.h"
+#include "scenario.h"
+
+#include <absl/flags/flag.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <future>
+
+ABSL_FLAG(std::string, deployment, "pilak-balik", "pilak-balik or hunangsthak");
+ABSL_FLAG(std::string, scenario, "steady", "name of a scenario; --list prints them");
+ABSL_FLAG(bool, list, false, "print the scenarios and end");
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of the load and of the service times");
+ABSL_FLAG(double, seconds, 20, "length of the measured load");
+ABSL_FLAG(double, warmup, 4, "seconds of load before the measured part");
+ABSL_FLAG(double, rate, 100, "requests per second over all daemons");
+ABSL_FLAG(std::string, service_time, "lognormal:4ms:0.5", "service time of the upstreams");
+ABSL_FLAG(int, lease_seconds, 4, "lease of the daemons; shorter than in production, so that runs are short");
+ABSL_FLAG(
+    bool, baseline, false, "daemons without homes (--test-direct) and without hedging (--test-no-hedge)");
+ABSL_FLAG(bool, no_hedge, false, "daemons without hedging (--test-no-hedge)");
+ABSL_FLAG(std::string, json, "", "file for all figures as JSON");
+ABSL_FLAG(std::string, svg, "", "file for a chart of the run");
+ABSL_FLAG(std::string, programs, "build", "build folder that holds the programs");
+ABSL_FLAG(std::string, daemon, "", "path of banyancroftd; default: in the build folder");
+ABSL_FLAG(std::string, examples, "examples", "folder with the configuration documents");
+ABSL_FLAG(std::string, logs, "out", "folder for the logs of daemons and emulators");
+
+namespace {
+
+using namespace banyancroft;
+using namespace banyancroft::tools;
+
+Duration toDuration(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+ClusterSettings makeSettings(const std::string& variant)
+{
+    const auto build = absl::GetFlag(FLAGS_programs);
+    ClusterSettings settings;
+    settings.daemonProgram = absl::GetFlag(FLAGS_daemon);
+    if (settings.daemonProgram.empty())
+        settings.daemonProgram = build + "/banyancroftd/banyancroftd";
+    settings.platformProgram = build + "/tools/platform_emulator/banyancroft-platform-emulator";
+    settings.upstreamProgram = build + "/tools/upstream_emulator/banyancroft-upstream-emulator";
+    settings.configPath = absl::GetFlag(FLAGS_examples) + "/" + absl::GetFlag(FLAGS_deployment) + ".json";
+    settings.logFolder = absl::GetFlag(FLAGS_logs) + "/" + absl::GetFlag(FLAGS_deployment) + "-"
+        + absl::GetFlag(FLAGS_scenario) + "-" + variant + "-" + std::to_string(absl::GetFlag(FLAGS_seed));
+    settings.serviceTime = absl::GetFlag(FLAGS_service_time);
+    settings.lease = std::to_string(absl::GetFlag(FLAGS_lease_seconds)) + "s";
+    settings.seed = absl::GetFlag(FLAGS_seed);
+    if (variant == "baseline") {
+        settings.daemonFlags = { "--test-direct", "--test-no-hedge" };
+    } else if (variant == "no-hedge") {
+        settings.daemonFlags = { "--test-no-hedge" };
+    }
+    std::filesystem::remove_all(settings.logFolder);
+    std::filesystem::create_directories(settings.logFolder);
+    return settings;
+}
+
+void writeFile(const std::string& path, const std::string& text)
+{
+    if (path.empty())
+        return;
+    std::ofstream file(path);
+    file << text;
+    if (!file)
+        std::fprintf(stderr, "banyancroft-bench: cannot write %s; check the path\n", path.c_str());
+}
+
+int run()
+{
+    constexpr auto readyPatience = std::chrono::seconds(30);
+    RunReport report;
+    report.deployment = absl::GetFlag(FLAGS_deployment);
+    report.scenario = absl::GetFlag(FLAGS_scenario);
+    report.variant = absl::GetFlag(FLAGS_baseline) ? "baseline"
+        : absl::GetFlag(FLAGS_no_hedge)            ? "no-hedge"
+                                                   : "homes";
+    report.seed = absl::GetFlag(FLAGS_seed);
+    report.seconds = absl::GetFlag(FLAGS_seconds);
+    report.rate = absl::GetFlag(FLAGS_rate);
+    const auto warmup = toDuration(absl::GetFlag(FLAGS_warmup));
+    const auto length = toDuration(report.seconds);
+
+    Endpoints endpoints;
+    Cluster cluster(makeSettings(report.variant), endpoints);
+    cluster.waitReady(readyPatience);
+    LoadSettings load;
+    load.seed = report.seed;
+    load.rate = report.rate;
+    load.length = warmup + length;
+    const auto schedule = makeSchedule(cluster.document(), load);
+    const AnswerChecker checker(cluster.document());
+
+    const auto start = BootClock::now();
+    const std::chrono::seconds lease(absl::GetFlag(FLAGS_lease_seconds));
+    auto scenario = std::async(std::launch::async,
+        [&] { return runScenario(report.scenario, cluster, start + warmup, length, lease); });
+    report.load = runLoad(schedule, checker, endpoints, start);
+    report.scenarioResult = scenario.get();
+    report.books = sumBooks(cluster.upstreamAdmin("/books"));
+    evaluate(report, warmup);
+
+    std::printf("%s%s", tableHeader().c_str(), tableRow(report).c_str());
+    writeFile(absl::GetFlag(FLAGS_json), toJson(report));
+    writeFile(absl::GetFlag(FLAGS_svg), toSvg(report));
+    for (const auto& problem : report.scenarioResult.problems)
+        std::fprintf(stderr, "problem: %s\n", problem.c_str());
+    for (const auto& fault : report.load.faults)
+        std::fprintf(stderr, "fault: %s\n", fault.c_str());
+    for (const auto& [reason, count] : report.load.reasons)
+        std::fprintf(stderr, "not done: %llu x %s\n", static_cast<unsigned long long>(count), reason.c_str());
+    return report.violations.empty() ? 0 : 1;
+}
+
+/** @return empty, or what is wrong with the flags */
+std::string checkFlags()
+{
+    const auto deployment = absl::GetFlag(FLAGS_deployment);
+    if (deployment != "pilak-balik" && deployment != "hunangsthak")
+        return "--deployment: \"" + deployment + "\" is unknown; give pilak-balik or hunangsthak";
+    const auto names = scenarioNames();
+    if (std::ranges::find(names, absl::GetFlag(FLAGS_scenario)) == names.end())
+        return "--scenario: \"" + absl::GetFlag(FLAGS_scenario) + "\" is unknown; --list prints the names";
+    if (absl::GetFlag(FLAGS_seconds) <= 0 || absl::GetFlag(FLAGS_rate) <= 0
+        || absl::GetFlag(FLAGS_warmup) < 0)
+        return "--seconds, --rate, --warmup: give positive numbers";
+    return {};
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    parseCommandLine(argc, argv, "banyancroft-bench",
+        "Starts daemons and emulators on loopback, generates load, injects the faults of a scenario and "
+        "checks "
+        "every answer. Exit status 1: a count that must be zero is not.");
+    if (absl::GetFlag(FLAGS_list)) {
+        for (const auto& name : scenarioNames())
+            std::printf("%s\n", name.c_str());
+        return 0;
+    }
+    if (const auto problem = checkFlags(); !problem.empty()) {
+        std::fprintf(stderr, "banyancroft-bench: %s\n", problem.c_str());
+        return 2;
+    }
+    try {
+        return run();
+    } catch (const std::exception& problem) {
+        std::fprintf(stderr, "banyancroft-bench: %s\n", problem.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/tools/bench/src/scenario.cpp
@@ -0,0 +1,286 @@
+#include "scenario.h"
+
+#include "books.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <functional>
+#include <future>
+#include <stdexcept>
+#include <thread>
+
+namespace banyancroft::tools {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/** The daemon that scenarios with one daemon treat. */
+constexpr std::size_t victim = 3;
+/** Index into Document::zones of the zone that operators take out. */
+constexpr std::size_t outZone = 1;
+constexpr auto stopPatience = std::chrono::seconds(35);
+constexpr double stragglerFactor = 10.0;
+constexpr unsigned coldAnswers = 40;
+constexpr unsigned downMillis = 500;
+constexpr unsigned races = 5;
+constexpr unsigned racers = 4;
+constexpr unsigned statusAccepted = 200;
+/** Time that a frozen daemon stands still beyond its lease. */
+constexpr auto freezeMargin = std::chrono::seconds(2);
+/** Time in which a daemon brings an older store forward. */
+constexpr auto bringForwardPatience = std::chrono::seconds(5);
+
+/** The run of one scenario, step by step. */
+class Script {
+public:
+    Script(Cluster& cluster, TimePoint start, Duration length, Duration lease)
+        : cluster_(cluster)
+        , start_(start)
+        , length_(length)
+        , lease_(lease)
+    {
+    }
+
+    void steady() { }
+
+    void straggler()
+    {
+        waitUntil(0.2);
+        const auto& group = cluster_.document().services.at(0).groups.at(0);
+        const Json body { { "upstream", group.upstreams.at(0).id.str() }, { "factor", stragglerFactor } };
+        cluster_.upstreamAdmin("/straggle", body.dump());
+        waitUntil(0.8);
+        cluster_.upstreamAdmin("/straggle", R"({"factor":1})");
+    }
+
+    void coldRestart()
+    {
+        const auto& service = cluster_.document().services.at(0);
+        waitUntil(0.25);
+        Json body { { "service", service.id.str() },
+            { "zone", cluster_.document().zones.at(outZone).id.str() }, { "cold_answers", coldAnswers } };
+        cluster_.upstreamAdmin("/restart", body.dump());
+        waitUntil(0.6);
+        body = { { "upstream", service.groups.at(0).upstreams.at(0).id.str() },
+            { "cold_answers", coldAnswers }, { "down_ms", downMillis } };
+        cluster_.upstreamAdmin("/restart", body.dump());
+    }
+
+    void zoneOutAndBack()
+    {
+        waitUntil(0.25);
+        const auto accepted = takeOut();
+        waitUntil(0.65);
+        measureTakeOut(accepted);
+        accept(0, "return zone " + zone());
+    }
+
+    void rollingRestart()
+    {
+        waitUntil(0.1);
+        for (std::size_t daemon = 0; daemon < Endpoints::daemons; ++daemon) {
+            const auto status = cluster_.restartDaemon(daemon, stopPatience);
+            if (status == 0)
+                continue;
+            ++result_.failedStops;
+            result_.problems.push_back(cluster_.vmOf(daemon) + " ended with status "
+                + (status ? std::to_string(*status) : std::string("none in time")));
+        }
+    }
+
+    void platformOutage()
+    {
+        waitUntil(0.2);
+        cluster_.platformAdmin("/outage", R"({"mode":"refuse"})");
+        waitUntil(0.8);
+        cluster_.platformAdmin("/outage", R"({"mode":"off"})");
+    }
+
+    void kill()
+    {
+        waitUntil(0.25);
+        cluster_.killDaemon(victim);
+        waitUntil(0.7);
+        cluster_.startDaemon(victim);
+    }
+
+    void freeze()
+    {
+        waitUntil(0.25);
+        cluster_.daemon(victim).signal(SIGSTOP);
+        std::this_thread::sleep_for(lease_ + freezeMargin);
+        cluster_.daemon(victim).signal(SIGCONT);
+    }
+
+    /** Group by group the new index appears beside the old one, then the old one goes. */
+    void indexChange()
+    {
+        serveIndexes(0.2, { 1, 2 });
+        serveIndexes(0.6, { 2 });
+    }
+
+    /** Several operators change one version at a time; exactly one of them may be accepted. */
+    void operatorRace()
+    {
+        waitUntil(0.2);
+        const auto& service = cluster_.document().services.at(0);
+        for (unsigned race = 0; race < races; ++race) {
+            const auto version = cluster_.storedVersion();
+            std::vector<std::future<unsigned>> statuses;
+            for (unsigned racer = 0; racer < racers; ++racer) {
+                const auto limit = std::to_string(1 + (race + racer) % service.slots);
+                const auto statement = "set service " + service.id.str() + " cold_limit " + limit
+                    + " if version " + std::to_string(version);
+                statuses.push_back(std::async(std::launch::async,
+                    [this, racer, statement] { return cluster_.operate(racer, statement); }));
+            }
+            unsigned accepted = 0;
+            for (auto& status : statuses)
+                accepted += status.get() == statusAccepted ? 1 : 0;
+            const auto now = cluster_.storedVersion();
+            if (accepted == 1 && now == version + 1)
+                continue;
+            ++result_.lostChanges;
+            result_.problems.push_back(std::to_string(accepted) + " of " + std::to_string(racers)
+                + " changes of version " + std::to_string(version) + " were accepted, the store has "
+                + std::to_string(now));
+        }
+    }
+
+    void storeReturnsOlder()
+    {
+        waitUntil(0.15);
+        cluster_.platformAdmin("/snapshot", R"({"name":"older"})");
+        const auto accepted = takeOut();
+        const auto version = cluster_.storedVersion();
+        waitUntil(0.45);
+        cluster_.platformAdmin("/restore", R"({"name":"older"})");
+        const auto deadline = BootClock::now() + bringForwardPatience;
+        while (cluster_.storedVersion() < version) {
+            if (BootClock::now() >= deadline) {
+                ++result_.lostChanges;
+                result_.problems.emplace_back("the older configuration was not brought forward");
+                break;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+        waitUntil(0.9);
+        measureTakeOut(accepted);
+    }
+
+    ScenarioResult result() { return std::move(result_); }
+
+private:
+    std::string zone() const { return cluster_.document().zones.at(outZone).id.str(); }
+
+    void waitUntil(double share)
+    {
+        const auto due = start_ + std::chrono::duration_cast<Duration>(length_ * share);
+        const auto left = due - BootClock::now();
+        if (left > Duration::zero())
+            std::this_thread::sleep_for(left);
+    }
+
+    void accept(std::size_t daemon, const std::string& statement)
+    {
+        const auto status = cluster_.operate(daemon, statement);
+        if (status != statusAccepted)
+            throw std::runtime_error(statement + " was answered with status " + std::to_string(status));
+    }
+
+    TimePoint takeOut()
+    {
+        accept(0, "take out zone " + zone());
+        return BootClock::now();
+    }
+
+    void measureTakeOut(TimePoint accepted)
+    {
+        const auto books = sumBooks(cluster_.upstreamAdmin("/books"));
+        const auto last = books.zoneLastWork.at(zone());
+        result_.takeOutSeconds = std::max(0.0, std::chrono::duration<double>(last - accepted).count());
+    }
+
+    void serveIndexes(double from, const std::vector<std::uint64_t>& versions)
+    {
+        std::vector<std::string> groups;
+        for (const auto& service : cluster_.document().services) {
+            for (const auto& group : service.groups)
+                groups.push_back(group.id.str());
+        }
+        constexpr double share = 0.2;
+        for (std::size_t index = 0; index < groups.size(); ++index) {
+            waitUntil(from + share * static_cast<double>(index) / static_cast<double>(groups.size()));
+            cluster_.upstreamAdmin(
+                "/serve", Json { { "group", groups[index] }, { "index", versions } }.dump());
+        }
+    }
+
+    Cluster& cluster_;
+    TimePoint start_;
+    Duration length_;
+    Duration lease_;
+    ScenarioResult result_;
+};
+
+struct Entry {
+    const char* name;
+    void (Script::*run)();
+    bool mayCut;
+};
+
+constexpr std::array entries {
+    Entry { "steady", &Script::steady, false },
+    Entry { "straggler", &Script::straggler, false },
+    Entry { "cold-restart", &Script::coldRestart, false },
+    Entry { "zone-out-and-back", &Script::zoneOutAndBack, false },
+    Entry { "rolling-restart", &Script::rollingRestart, false },
+    Entry { "platform-outage", &Script::platformOutage, false },
+    Entry { "kill", &Script::kill, true },
+    Entry { "freeze", &Script::freeze, true },
+    Entry { "index-change", &Script::indexChange, false },
+    Entry { "operator-race", &Script::operatorRace, false },
+    Entry { "store-returns-older", &Script::storeReturnsOlder, false },
+};
+
+const Entry& find(std::string_view name)
+{
+    const auto* entry = std::ranges::find(entries, name, &Entry::name);
+    if (entry == entries.end())
+        throw std::runtime_error("scenario \"" + std::string(name) + "\" is unknown");
+    return *entry;
+}
+
+} // namespace
+
+std::vector<std::string> scenarioNames()
+{
+    std::vector<std::string> names;
+    names.reserve(entries.size());
+    for (const auto& entry : entries)
+        names.emplace_back(entry.name);
+    return names;
+}
+
+bool mayCut(std::string_view scenario) { return find(scenario).mayCut; }
+
+ScenarioResult runScenario(
+    std::string_view name, Cluster& cluster, TimePoint start, Duration length, Duration lease)
+{
+    Script script(cluster, start, length, lease);
+    std::string problem;
+    try {
+        (script.*find(name).run)();
+    } catch (const std::exception& failure) {
+        problem = failure.what();
+    }
+    auto result = script.result();
+    if (!problem.empty())
+        result.problems.push_back(problem);
+    return result;
+}
+
+} // namespace banyancroft::tools
--- a/tools/platform_emulator/src/main.cpp
+++ b/tools/platform_emulator/src/main.cpp
@@ -1,10 +1,7 @@
+#include "command_line/command_line.h"
 #include "platform_emulator/platform_emulator.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
-#include <absl/strings/match.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -47,13 +44,8 @@
 
 int main(int argc, char** argv)
 {
-    absl::FlagsUsageConfig usage;
-    usage.version_string = [] { return "banyancroft-platform-emulator " BANYANCROFT_VERSION "\n"; };
-    usage.contains_help_flags = [](absl::string_view file) { return absl::StrContains(file, "main.cpp"); };
-    absl::SetFlagsUsageConfig(usage);
-    absl::SetProgramUsageMessage(
+    banyancroft::tools::parseCommandLine(argc, argv, "banyancroft-platform-emulator",
         "Emulates the platform's key-value service (etcd v3 JSON gateway) for tests and measurements.");
-    absl::ParseCommandLine(argc, argv);
     try {
         return run();
     } catch (const std::exception& problem) {
--- a/tools/upstream_emulator/src/main.cpp
+++ b/tools/upstream_emulator/src/main.cpp
@@ -1,11 +1,8 @@
+#include "command_line/command_line.h"
 #include "config/document_json.h"
 #include "upstream_emulator/upstream_fleet.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
-#include <absl/strings/match.h>
 
 #include <sys/resource.h>
 
@@ -55,10 +52,10 @@
         return usageError("--config: " + toString(reason));
     const auto serviceTime = tools::parseServiceTime(absl::GetFlag(FLAGS_service_time), reason);
     if (!serviceTime)
-        return usageError("--service_time: " + toString(reason));
+        return usageError("--service-time: " + toString(reason));
     const int adminPort = absl::GetFlag(FLAGS_admin_port);
     if (adminPort < 0 || adminPort > std::numeric_limits<std::uint16_t>::max())
-        return usageError("--admin_port: out of range; give 0 to 65535");
+        return usageError("--admin-port: out of range; give 0 to 65535");
 
     raiseDescriptorLimit();
     tools::UpstreamFleet fleet(std::move(*document),
@@ -74,13 +71,8 @@
 
 int main(int argc, char** argv)
 {
-    absl::FlagsUsageConfig usage;
-    usage.version_string = [] { return "banyancroft-upstream-emulator " BANYANCROFT_VERSION "\n"; };
-    usage.contains_help_flags = [](absl::string_view file) { return absl::StrContains(file, "main.cpp"); };
-    absl::SetFlagsUsageConfig(usage);
-    absl::SetProgramUsageMessage(
+    banyancroft::tools::parseCommandLine(argc, argv, "banyancroft-upstream-emulator",
         "Emulates all upstreams of a configuration document for tests and measurements.");
-    absl::ParseCommandLine(argc, argv);
     try {
         return run();
     } catch (const std::exception& problem) {
