--- a/libs/query/src/basic_parsers.h
+++ b/libs/query/src/basic_parsers.h
@@ -87,9 +87,10 @@
         const std::string_view rest(first, last);
         JsonFault fault;
         auto length = jsonObjectLength(rest, fault);
-        if (!length)
+        if (!length) {
             throw Fault { first + static_cast<std::ptrdiff_t>(fault.offset), fault.message,
                 "write the payload as one JSON object" };
+        }
         x3::traits::move_to(std::string(rest.substr(0, *length)), attribute);
         first += static_cast<std::ptrdiff_t>(*length);
         return true;
