--- a/libs/config/tests/test_document.cpp
+++ b/libs/config/tests/test_document.cpp
@@ -1,22 +1,14 @@
 #include "config/document_json.h"
 #include "config/validation.h"
+#include "example.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <fstream>
-#include <iterator>
-
 using namespace banyancroft;
 using namespace banyancroft::config;
 
 namespace {
 
-std::string readExample(const std::string& name)
-{
-    std::ifstream file(std::string(BANYANCROFT_EXAMPLES) + "/" + name);
-    return { std::istreambuf_iterator<char>(file), {} };
-}
-
 const std::string& minimal()
 {
     static const std::string text = R"({"schema":1,"version":3,"layout_version":2,"deployment":"d",
--- /dev/null
+++ b/libs/config/tests/test_registry.cpp
@@ -0,0 +1,56 @@
+#include "config/registry.h"
+
+#include "example.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace banyancroft;
+using namespace banyancroft::config;
+
+namespace {
+
+Document withVersion(std::uint64_t version, unsigned slots = 3)
+{
+    Document document = pilakBalik();
+    document.version = { version };
+    document.services[0].slots = slots;
+    return document;
+}
+
+TimePoint at(int seconds) { return TimePoint(std::chrono::seconds(seconds)); }
+
+} // namespace
+
+// A store restored from an old copy must not revert the fleet.
+BOOST_AUTO_TEST_CASE(OnlyHigherVersionsAreAdopted)
+{
+    ConfigurationRegistry registry;
+    BOOST_TEST((registry.offer(withVersion(3), Source::Peer, at(1)) == Offer::Adopted));
+    BOOST_TEST((registry.offer(withVersion(3), Source::Store, at(2)) == Offer::Same));
+    BOOST_TEST((registry.offer(withVersion(2), Source::Peer, at(3)) == Offer::Older));
+    BOOST_TEST(!registry.storeBehind());
+    BOOST_TEST((registry.offer(withVersion(2), Source::Store, at(4)) == Offer::Older));
+    BOOST_TEST((registry.offer(withVersion(1), Source::Store, at(5)) == Offer::Older));
+    BOOST_TEST((registry.storeBehindSince() == at(4)));
+    BOOST_TEST(registry.version().value == 3U);
+    BOOST_TEST((registry.adoptedAt() == at(1)));
+    BOOST_TEST((registry.offer(withVersion(4), Source::Store, at(6)) == Offer::Adopted));
+    BOOST_TEST(!registry.storeBehind());
+}
+
+// Two daemons that see two documents of one version in different order must end with the same one.
+BOOST_AUTO_TEST_CASE(DivergedDocumentsConverge)
+{
+    ConfigurationRegistry first;
+    ConfigurationRegistry second;
+    first.offer(withVersion(3, 3), Source::Store, at(1));
+    second.offer(withVersion(3, 4), Source::Store, at(1));
+    const Offer atFirst = first.offer(withVersion(3, 4), Source::Store, at(2));
+    const Offer atSecond = second.offer(withVersion(3, 3), Source::Store, at(2));
+    BOOST_TEST((atFirst == Offer::DivergedReplaced));
+    BOOST_TEST((atSecond == Offer::DivergedKept));
+    BOOST_TEST(first.text() == second.text());
+    BOOST_TEST(first.divergences() == 1U);
+    BOOST_TEST(!first.storeBehind());
+    BOOST_TEST(second.storeBehind());
+}
