Carry out configuration edits and bring an older store forward

Cause: operators' commands must be accepted by compare-and-swap and never revert. Change: the daemon uses ConfigurationRegistry and ConfigurationEditor; status shows a store that is behind; a daemon is ready once it takes part in its zone's view or has tried for ten seconds.

--- a/libs/daemon/src/configuration_driver.cpp
+++ b/libs/daemon/src/configuration_driver.cpp
@@ -3,6 +3,8 @@
 #include "config/document_json.h"
 #include "telemetry/log.h"
 
+#include <nlohmann/json.hpp>
+
 namespace banyancroft::daemon {
 
 namespace {
@@ -10,44 +12,126 @@
 using telemetry::log;
 using telemetry::LogLevel;
 
+// Long enough for the newest document of the fleet to arrive from peers before an older one is written back.
+constexpr std::chrono::milliseconds forwardDelay { 1000 };
+
+configstore::ConfigurationEditor::Options editorOptions(boost::asio::io_context& ioContext)
+{
+    configstore::ConfigurationEditor::Options options;
+    options.after = [&ioContext](Duration delay, std::function<void()> function) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(ioContext, delay);
+        timer->async_wait([timer, function = std::move(function)](const boost::system::error_code& code) {
+            if (!code)
+                function();
+        });
+    };
+    return options;
+}
+
 } // namespace
 
-ConfigurationDriver::ConfigurationDriver(platform::Store&, boost::asio::io_context&,
+ConfigurationDriver::ConfigurationDriver(platform::Store& store, boost::asio::io_context& ioContext,
     std::function<void(std::shared_ptr<const config::Document>)> onDocument)
-    : onDocument_(std::move(onDocument))
+    : store_(store)
+    , ioContext_(ioContext)
+    , editor_(store, editorOptions(ioContext))
+    , onDocument_(std::move(onDocument))
+    , forwardTimer_(ioContext)
 {
 }
 
+ConfigurationDriver::~ConfigurationDriver() { *alive_ = false; }
+
 void ConfigurationDriver::onStoreValue(const platform::KeyValue& value)
 {
-    if (value.modified)
-        adopt(value.value, "store");
+    if (!value.modified)
+        return onStoreEmpty();
+    offer(value.value, config::Source::Store);
 }
 
-void ConfigurationDriver::onPeerDocument(std::string_view text) { adopt(text, "peer"); }
-
-void ConfigurationDriver::edit(const config::Edit&, const std::function<void(CommandResult)>& callback)
+void ConfigurationDriver::onStoreEmpty()
 {
-    callback({ { ErrorKind::Unavailable, "edits are not wired yet", "write the document to the store" },
-        false, {} });
+    if (!registry_.document())
+        return;
+    log(LogLevel::Error, "configuration", "the store lost the configuration; writing it back",
+        { { "version", std::to_string(registry_.version().value) } });
+    bringForwardLater();
 }
 
-void ConfigurationDriver::adopt(std::string_view text, std::string_view source)
+void ConfigurationDriver::onPeerDocument(std::string_view text) { offer(text, config::Source::Peer); }
+
+void ConfigurationDriver::offer(std::string_view text, config::Source source)
 {
-    if (text == text_)
+    // The usual case on a slow read: nothing changed, so nothing needs to be parsed.
+    if (text == registry_.text() && !registry_.storeBehind())
         return;
     Error reason;
     auto document = config::parseDocument(text, reason);
     if (!document) {
         log(LogLevel::Error, "configuration", "document is not usable",
-            { { "source", std::string(source) }, { "reason", toString(reason) } });
+            { { "source", source == config::Source::Store ? "store" : "peer" },
+                { "reason", toString(reason) } });
         return;
     }
-    if (document_ && document->version <= document_->version)
+    const auto offered = document->version;
+    switch (registry_.offer(std::move(*document), source, BootClock::now())) {
+    case config::Offer::DivergedReplaced:
+        log(LogLevel::Error, "configuration",
+            "two documents have the same version; the other one is in force now",
+            { { "version", std::to_string(offered.value) } });
+        onDocument_(registry_.document());
+        break;
+    case config::Offer::Adopted:
+        onDocument_(registry_.document());
+        break;
+    case config::Offer::DivergedKept:
+        log(LogLevel::Error, "configuration", "two documents have the same version; the one in force stays",
+            { { "version", std::to_string(offered.value) } });
+        break;
+    case config::Offer::Same:
+    case config::Offer::Older:
+        break;
+    }
+    if (registry_.storeBehind())
+        bringForwardLater();
+}
+
+void ConfigurationDriver::bringForwardLater()
+{
+    if (std::exchange(forwarding_, true))
         return;
-    text_ = std::string(text);
-    document_ = std::make_shared<const config::Document>(std::move(*document));
-    onDocument_(document_);
+    log(LogLevel::Error, "configuration", "the store is older than the fleet; it will be brought forward",
+        { { "version", std::to_string(registry_.version().value) } });
+    forwardTimer_.expires_after(forwardDelay);
+    forwardTimer_.async_wait([this, alive = alive_](const boost::system::error_code& code) {
+        if (code || !*alive)
+            return;
+        editor_.bringForward(registry_.document(), [this, alive](const configstore::EditResult& result) {
+            if (!*alive)
+                return;
+            forwarding_ = false;
+            const bool failed = static_cast<bool>(result.error);
+            log(failed ? LogLevel::Warn : LogLevel::Info, "configuration",
+                failed ? "the store could not be brought forward" : "the store was brought forward",
+                { { "version", std::to_string(registry_.version().value) },
+                    { "reason", toString(result.error) } });
+            // The next read of the store shows whether it is still behind and starts this again.
+        });
+    });
+}
+
+void ConfigurationDriver::edit(const config::Edit& edit, const std::function<void(CommandResult)>& callback)
+{
+    editor_.edit(
+        edit, registry_.document(), [this, alive = alive_, callback](const configstore::EditResult& result) {
+            if (result.error)
+                return callback({ result.error, result.unknown, {} });
+            if (*alive && result.document)
+                offer(config::toJson(*result.document), config::Source::Store);
+            const nlohmann::ordered_json json { { "accepted", true },
+                { "config_version", result.document ? result.document->version.value : 0 } };
+            callback({ {}, false, json.dump() });
+        });
 }
 
 } // namespace banyancroft::daemon
--- a/libs/daemon/src/configuration_driver.h
+++ b/libs/daemon/src/configuration_driver.h
@@ -3,9 +3,12 @@
 #include "command_result.h"
 #include "config/document.h"
 #include "config/edit.h"
+#include "config/registry.h"
+#include "configstore/editor.h"
 #include "platform/store.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -13,10 +16,10 @@
 
 namespace banyancroft::daemon {
 
-constexpr std::string_view configKey = "/banyancroft/config";
-
 /**
- * The configuration in force at this daemon: adopts higher versions from the store and from peers.
+ * The configuration in force at this daemon: adopts higher versions from the store and from peers, carries
+ * out operators' edits, and brings a store forward that returned older.
+ *
  * Lives on the control thread.
  */
 class ConfigurationDriver {
@@ -24,24 +27,31 @@
     /** @param onDocument a newer document is in force */
     ConfigurationDriver(platform::Store& store, boost::asio::io_context& ioContext,
         std::function<void(std::shared_ptr<const config::Document>)> onDocument);
+    ~ConfigurationDriver();
 
-    /** Handles the value of configKey that a watch or a read showed. */
+    /** Handles the value of the configuration's key that a watch or a read showed. */
     void onStoreValue(const platform::KeyValue& value);
+    /** The store answered that it has no configuration. */
+    void onStoreEmpty();
     /** Takes a document that a peer sent. */
     void onPeerDocument(std::string_view text);
-
     /** Carries out an operator's edit of the document. */
     void edit(const config::Edit& edit, const std::function<void(CommandResult)>& callback);
 
-    /** JSON text of the document in force; empty when none is known. */
-    const std::string& text() const { return text_; }
+    const config::ConfigurationRegistry& registry() const { return registry_; }
 
 private:
-    void adopt(std::string_view text, std::string_view source);
+    void offer(std::string_view text, config::Source source);
+    void bringForwardLater();
 
+    platform::Store& store_;
+    boost::asio::io_context& ioContext_;
+    configstore::ConfigurationEditor editor_;
+    config::ConfigurationRegistry registry_;
     std::function<void(std::shared_ptr<const config::Document>)> onDocument_;
-    std::shared_ptr<const config::Document> document_;
-    std::string text_;
+    boost::asio::steady_timer forwardTimer_;
+    bool forwarding_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace banyancroft::daemon
--- a/libs/daemon/src/control.cpp
+++ b/libs/daemon/src/control.cpp
@@ -18,6 +18,8 @@
 constexpr int silentHeartbeats = 4;
 // Safety net should both watchers of a zone hang: 560 daemons make 56 reads a second of it.
 constexpr std::chrono::seconds slowReadPeriod { 10 };
+// A join takes one promise and one longest deadline, 4 s by default.
+constexpr Duration settlePatience = std::chrono::seconds(10);
 constexpr Duration storeDeadline = std::chrono::seconds(1);
 
 platform::EtcdStore::Options storeOptions(const Settings& settings)
@@ -189,10 +191,14 @@
 
 void Control::readStore()
 {
-    store_.get(configKey, [this, alive = alive_](std::optional<platform::Listing> listing, const Error&) {
-        if (*alive && listing)
+    store_.get(configstore::documentKey,
+        [this, alive = alive_](std::optional<platform::Listing> listing, const Error&) {
+            if (!*alive || !listing)
+                return;
+            if (listing->entries.empty())
+                return configuration_.onStoreEmpty();
             onStoreValues(listing->entries);
-    });
+        });
     // The members' records lie below the same prefix; they are few and this is read seldom.
     store_.list(zonePrefix, [this, alive = alive_](std::optional<platform::Listing> listing, const Error&) {
         if (*alive && listing)
@@ -210,7 +216,7 @@
 void Control::watchStore()
 {
     // Two prefixes, since a watch of everything would also deliver each claim.
-    watchPrefix(std::string(configKey));
+    watchPrefix(std::string(configstore::documentKey));
     watchPrefix(std::string(zonePrefix));
 }
 
@@ -246,7 +252,7 @@
 void Control::onStoreValues(std::span<const platform::KeyValue> values)
 {
     for (const auto& value : values) {
-        if (value.key == configKey)
+        if (value.key == configstore::documentKey)
             configuration_.onStoreValue(value);
         else
             members_.onStoreValue(value);
@@ -299,6 +305,12 @@
     return zone != document_->zones.end() && zone->serving;
 }
 
+bool Control::settled() const
+{
+    // During an outage of the store a new daemon cannot join, but serves as an entry all the same.
+    return members_.membership().active() || BootClock::now() - startedAt_ >= settlePatience;
+}
+
 Authority Control::authority(const UpstreamId& upstream) const
 {
     return members_.membership().authority(upstream);
@@ -359,7 +371,7 @@
 {
     wire::StateReply state;
     if (document_ && document_->version > request.haveConfig)
-        state.config = configuration_.text();
+        state.config = configuration_.registry().text();
     for (const auto* view : members_.views().all()) {
         auto theirs = std::find_if(request.haveViews.begin(), request.haveViews.end(),
             [view](const auto& candidate) { return candidate.zone == view->zone; });
--- a/libs/daemon/src/control.h
+++ b/libs/daemon/src/control.h
@@ -57,6 +57,8 @@
     const config::Document* document() const { return document_.get(); }
     /** True when the configuration is known and lets the own zone serve. */
     bool serving() const;
+    /** True when this daemon takes part in its zone's view, or has tried for long enough to serve without. */
+    bool settled() const;
     /** Authority over an upstream of the own zone. */
     Authority authority(const UpstreamId& upstream) const;
 
@@ -101,6 +103,7 @@
     /** Prefixes with a watch that runs or is being started. */
     std::set<std::string> watched_;
     TimePoint lastDigest_ {};
+    const TimePoint startedAt_ = BootClock::now();
     boost::asio::steady_timer tickTimer_;
     boost::asio::steady_timer heartbeatTimer_;
     boost::asio::steady_timer vmTimer_;
--- a/libs/daemon/src/control_commands.cpp
+++ b/libs/daemon/src/control_commands.cpp
@@ -102,7 +102,7 @@
         return failure(ErrorKind::Unavailable, "no configuration is known yet", "load a configuration");
     switch (statement.topic) {
     case query::ShowTopic::Config:
-        return { {}, false, configuration_.text() };
+        return { {}, false, configuration_.registry().text() };
     case query::ShowTopic::Coverage: {
         Json collections = Json::array();
         for (const auto& collection : document_->collections)
@@ -152,7 +152,9 @@
             { "members", view->members.size() } });
     return success({ { "vm", settings_.vm.view() }, { "zone", settings_.zone.view() },
         { "version", BANYANCROFT_VERSION }, { "config_version", document_ ? document_->version.value : 0 },
-        { "serving", serving() }, { "active", membership.active() }, { "watcher", membership.watcher() },
+        { "store_behind", configuration_.registry().storeBehind() },
+        { "divergent_documents", configuration_.registry().divergences() }, { "serving", serving() },
+        { "active", membership.active() }, { "watcher", membership.watcher() },
         { "lease_valid", membership.leaseValid(now) }, { "store_failing", membership.storeFailing(now) },
         { "upstreams_by_share", std::move(shares) }, { "views", std::move(views) } });
 }
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -359,7 +359,7 @@
 
     void scheduleReadiness()
     {
-        ready_ = !stopping_ && control_->serving();
+        ready_ = !stopping_ && control_->serving() && control_->settled();
         stopTimer_.expires_after(std::chrono::milliseconds(50));
         stopTimer_.async_wait([this](const boost::system::error_code& code) {
             if (!code && !stopping_)
