--- a/banyancroftd/main.cpp
+++ b/banyancroftd/main.cpp
@@ -32,6 +32,8 @@
 ABSL_FLAG(std::string, traffic_threads, "1", "number of traffic threads");
 ABSL_FLAG(std::string, stop_limit, "30s", "longest planned stop");
 ABSL_FLAG(std::string, lame_duck, "1s", "time between not ready and the first refused connection at a stop");
+ABSL_FLAG(bool, test_direct, false, "measurements only: no homes, a fixed share of each upstream per daemon");
+ABSL_FLAG(bool, test_no_hedge, false, "measurements only: no hedges");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warn or error");
 
 namespace {
@@ -46,6 +48,11 @@
     std::string daemon::RawSettings::*field;
 };
 
+bool isSwitch(std::string_view name)
+{
+    return name == "help" || name == "version" || name == "test_direct" || name == "test_no_hedge";
+}
+
 /** Names of the flags that the command line gives, with underscores. */
 using GivenFlags = std::set<std::string>;
 
@@ -70,7 +77,7 @@
             reason = { ErrorKind::InvalidInput, "unknown flag \"" + std::string(text) + "\"", "see --help" };
             return std::nullopt;
         }
-        const bool valueFollows = nameEnd == text.size() && name != "help" && name != "version";
+        const bool valueFollows = nameEnd == text.size() && !isSwitch(name);
         given.insert(std::move(name));
         if (valueFollows)
             ++i;
@@ -115,6 +122,8 @@
     Raw raw;
     for (const auto& binding : bindings)
         raw.*binding.field = settingOf(binding, given);
+    raw.testDirect = absl::GetFlag(FLAGS_test_direct);
+    raw.testNoHedge = absl::GetFlag(FLAGS_test_no_hedge);
     return raw;
 }
 
--- a/libs/daemon/include/daemon/settings.h
+++ b/libs/daemon/include/daemon/settings.h
@@ -29,6 +29,8 @@
     std::string stopLimit = "30s";
     std::string lameDuck = "1s";
     std::string logLevel = "info";
+    bool testDirect = false;
+    bool testNoHedge = false;
 };
 
 /** Checked settings. */
@@ -57,6 +59,11 @@
     Duration stopLimit {};
     /** Time between "not ready" and the first refused connection at a planned stop. */
     Duration lameDuck {};
+    /** Measurements only: no homes; each daemon connects to all upstreams with a fixed share of their slots.
+     */
+    bool testDirect = false;
+    /** Measurements only: no hedges, whatever the policy says. */
+    bool testNoHedge = false;
 };
 
 /** Reads a duration such as `150ms`, `2s` or `1m`; empty for anything else. */
--- a/libs/daemon/src/control.cpp
+++ b/libs/daemon/src/control.cpp
@@ -265,6 +265,11 @@
         { { "version", std::to_string(document->version.value) },
             { "layout", std::to_string(document->layout.value) } });
     document_ = std::move(document);
+    if (settings_.testNoHedge) {
+        auto copy = std::make_shared<config::Document>(*document_);
+        copy->policy.hedge = false;
+        document_ = std::move(copy);
+    }
     std::vector<UpstreamId> own;
     for (const auto& service : document_->services) {
         for (const auto& group : service.groups) {
@@ -287,7 +292,9 @@
     for (const auto& service : document_->services) {
         for (const auto& group : service.groups) {
             for (const auto& upstream : group.upstreams) {
-                if (const auto* home = members_.views().homeOf(upstream.zone, upstream.id))
+                if (settings_.testDirect)
+                    table->homes.emplace(upstream.id, ownAddress_);
+                else if (const auto* home = members_.views().homeOf(upstream.zone, upstream.id))
                     table->homes.emplace(upstream.id, home->address);
             }
         }
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -188,6 +188,8 @@
         Control::Hooks hooks;
         hooks.onRouting = [this](const RoutingTablePointer& table) { publish(table); };
         hooks.onAuthority = [this](const UpstreamId& upstream, const Authority& authority) {
+            if (settings_.testDirect)
+                return;
             Worker& owner = workers_.front()->ownerOf(upstream);
             owner.post([&owner, upstream, authority] { owner.home().setAuthority(upstream, authority); });
         };
@@ -321,16 +323,30 @@
         for (const auto& service : document.services) {
             for (const auto& group : service.groups) {
                 for (const auto& upstream : group.upstreams) {
-                    if (upstream.zone != settings_.zone)
+                    if (upstream.zone != settings_.zone && !settings_.testDirect)
                         continue;
                     home::Target target { upstream, service.id, service.slots, service.connections,
                         service.coldLimit, serving, control_->authority(upstream.id) };
+                    if (settings_.testDirect)
+                        useFixedShare(target);
                     targets[workers_.front()->ownerOf(upstream.id).index()].push_back(std::move(target));
                 }
             }
         }
     }
 
+    /** The measured baseline: each daemon of today's deployments takes an equal part of an upstream. */
+    static void useFixedShare(home::Target& target)
+    {
+        constexpr unsigned daemons = 8;
+        constexpr unsigned fewestConnections = 2;
+        target.slots = std::max(1U, target.slots / daemons);
+        target.coldLimit = std::max(1U, target.coldLimit / daemons);
+        target.connections = std::max(fewestConnections, target.connections / daemons);
+        target.zoneServing = true;
+        target.authority = { Share::Full, TimePoint::max(), 0, {} };
+    }
+
     void collectInFlight(std::function<void(std::vector<membership::InFlight>)> callback)
     {
         struct Collection {
--- a/libs/daemon/src/settings.cpp
+++ b/libs/daemon/src/settings.cpp
@@ -138,6 +138,8 @@
     settings.storeSource = raw.storeSource;
     settings.operatorToken = raw.operatorToken;
     settings.trafficThreads = threads;
+    settings.testDirect = raw.testDirect;
+    settings.testNoHedge = raw.testNoHedge;
     return settings;
 }
 
