--- a/tools/bench/src/answer_checker.cpp
+++ b/tools/bench/src/answer_checker.cpp
@@ -119,6 +119,8 @@
 {
     return guarded(status, body, [&](const Json& answer, CheckedAnswer& result) {
         result.falseClaim = compareCoverage(answer, shards_.at(collection));
+        for (const auto& missing : answer.at("coverage").at("missing"))
+            ++result.missing[missing.value("reason", "")];
         result.complete = result.falseClaim.empty() && answer.at("complete").get<bool>();
     });
 }
--- a/tools/bench/src/answer_checker.h
+++ b/tools/bench/src/answer_checker.h
@@ -3,6 +3,7 @@
 #include "config/document.h"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -20,6 +21,8 @@
     /** Empty, or how rows, versions and claimed coverage contradict each other. */
     std::string falseClaim;
     std::string reason;
+    /** Reasons of the shards that a search lacks, with their numbers. */
+    std::map<std::string, std::uint64_t> missing;
 };
 
 /**
--- a/tools/bench/src/load_generator.cpp
+++ b/tools/bench/src/load_generator.cpp
@@ -145,14 +145,14 @@
         const auto checked = search ? checker_.checkSearch(request.collection, answer.status, answer.body)
                                     : AnswerChecker::checkSubmit(answer.status, answer.body);
         const bool done = checked.outcome == CheckedAnswer::Outcome::Done;
-        if (search) {
-            result_.neededSubrequests += checker_.groups(request.collection);
-        } else {
+        if (!search) {
             auto& key = result_.keys[request.key];
             ++key.sent;
             key.done += done ? 1 : 0;
             key.notRun += checked.outcome == CheckedAnswer::Outcome::NotRun ? 1 : 0;
         }
+        for (const auto& [reason, count] : checked.missing)
+            result_.missingShards[reason] += count;
         if (!done)
             ++result_.reasons[(search ? "search " : "submit ") + checked.reason.substr(0, shownCharacters)];
         if (checked.outcome == CheckedAnswer::Outcome::Malformed) {
@@ -170,11 +170,8 @@
     void cut(const PlannedRequest& request, const Error& failure)
     {
         ++result_.cut;
-        if (request.kind == PlannedRequest::Kind::Search) {
-            result_.neededSubrequests += checker_.groups(request.collection);
-        } else {
+        if (request.kind == PlannedRequest::Kind::Submit)
             ++result_.keys[request.key].sent;
-        }
         fault(request, toString(failure));
         sample(request, false, false);
         close();
@@ -182,8 +179,9 @@
 
     void sample(const PlannedRequest& request, bool done, bool complete)
     {
-        result_.samples.push_back({ request.at, BootClock::now() - start_ - request.at,
-            request.kind == PlannedRequest::Kind::Search, done, complete });
+        const bool search = request.kind == PlannedRequest::Kind::Search;
+        result_.samples.push_back({ request.at, BootClock::now() - start_ - request.at, search, done,
+            complete, search ? checker_.groups(request.collection) : 0 });
     }
 
     void fault(const PlannedRequest& request, const std::string& text)
--- a/tools/bench/src/load_generator.h
+++ b/tools/bench/src/load_generator.h
@@ -28,6 +28,8 @@
     bool search = false;
     bool done = false;
     bool complete = false;
+    /** Sub-requests that the search needs: one per group. */
+    std::size_t subrequests = 0;
 };
 
 struct LoadResult {
@@ -35,9 +37,10 @@
     std::map<std::string, KeyOutcomes> keys;
     /** Reasons of answers that were not done, with their numbers. */
     std::map<std::string, std::uint64_t> reasons;
+    /** Reasons of shards that searches lacked, with their numbers. */
+    std::map<std::string, std::uint64_t> missingShards;
     /** First few contradictions and malformed answers. */
     std::vector<std::string> faults;
-    std::uint64_t neededSubrequests = 0;
     std::uint64_t falseClaims = 0;
     std::uint64_t malformed = 0;
     /** Requests that left and got no answer. */
--- a/tools/bench/src/main.cpp
+++ b/tools/bench/src/main.cpp
@@ -13,13 +13,14 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <thread>
 
 ABSL_FLAG(std::string, deployment, "pilak-balik", "pilak-balik or hunangsthak");
 ABSL_FLAG(std::string, scenario, "steady", "name of a scenario; --list prints them");
 ABSL_FLAG(bool, list, false, "print the scenarios and end");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the load and of the service times");
 ABSL_FLAG(double, seconds, 20, "length of the measured load");
-ABSL_FLAG(double, warmup, 4, "seconds of load before the measured part");
+ABSL_FLAG(double, warmup, 6, "seconds of load before the measured part");
 ABSL_FLAG(double, rate, 100, "requests per second over all daemons");
 ABSL_FLAG(std::string, service_time, "lognormal:4ms:0.5", "service time of the upstreams");
 ABSL_FLAG(int, lease_seconds, 4, "lease of the daemons; shorter than in production, so that runs are short");
@@ -105,8 +106,11 @@
 
     const auto start = BootClock::now();
     const std::chrono::seconds lease(absl::GetFlag(FLAGS_lease_seconds));
-    auto scenario = std::async(std::launch::async,
-        [&] { return runScenario(report.scenario, cluster, start + warmup, length, lease); });
+    auto scenario = std::async(std::launch::async, [&] {
+        std::this_thread::sleep_for(warmup);
+        report.searchesBefore = sumBooks(cluster.upstreamAdmin("/books")).searches;
+        return runScenario(report.scenario, cluster, start + warmup, length, lease);
+    });
     report.load = runLoad(schedule, checker, endpoints, start);
     report.scenarioResult = scenario.get();
     report.books = sumBooks(cluster.upstreamAdmin("/books"));
@@ -119,6 +123,9 @@
         std::fprintf(stderr, "problem: %s\n", problem.c_str());
     for (const auto& fault : report.load.faults)
         std::fprintf(stderr, "fault: %s\n", fault.c_str());
+    for (const auto& [reason, count] : report.load.missingShards)
+        std::fprintf(
+            stderr, "missing shards: %llu x %s\n", static_cast<unsigned long long>(count), reason.c_str());
     for (const auto& [reason, count] : report.load.reasons)
         std::fprintf(stderr, "not done: %llu x %s\n", static_cast<unsigned long long>(count), reason.c_str());
     return report.violations.empty() ? 0 : 1;
--- a/tools/bench/src/report.cpp
+++ b/tools/bench/src/report.cpp
@@ -90,6 +90,7 @@
 {
     std::vector<double> latencies;
     std::size_t complete = 0;
+    std::size_t needed = 0;
     report.searches = 0;
     report.submits = 0;
     for (const auto& sample : report.load.samples) {
@@ -100,13 +101,14 @@
             continue;
         }
         ++report.searches;
+        needed += sample.subrequests;
         complete += sample.complete ? 1 : 0;
         latencies.push_back(toMillis(sample.latency));
     }
     report.searchMillis = { quantile(latencies, 0.5), quantile(latencies, 0.99), quantile(latencies, 0.999) };
     report.fullCoveragePercent = percent(static_cast<double>(complete), static_cast<double>(report.searches));
-    const auto needed = static_cast<double>(report.load.neededSubrequests);
-    report.extraLoadPercent = percent(static_cast<double>(report.books.searches) - needed, needed);
+    const auto sent = static_cast<double>(report.books.searches - report.searchesBefore);
+    report.extraLoadPercent = percent(sent - static_cast<double>(needed), static_cast<double>(needed));
     report.submitVerdict = judgeSubmits(report.load.keys, report.books);
     findViolations(report);
 }
@@ -155,8 +157,8 @@
         { "failed_stops", report.scenarioResult.failedStops },
         { "lost_changes", report.scenarioResult.lostChanges },
         { "take_out_seconds", takeOut ? Json(*takeOut) : Json() }, { "reasons", report.load.reasons },
-        { "faults", report.load.faults }, { "problems", report.scenarioResult.problems },
-        { "violations", report.violations } };
+        { "missing_shards", report.load.missingShards }, { "faults", report.load.faults },
+        { "problems", report.scenarioResult.problems }, { "violations", report.violations } };
     return json.dump(2) + "\n";
 }
 
--- a/tools/bench/src/report.h
+++ b/tools/bench/src/report.h
@@ -33,6 +33,8 @@
     double extraLoadPercent = 0;
     std::size_t searches = 0;
     std::size_t submits = 0;
+    /** Sub-requests that upstreams got before the measured part. */
+    std::uint64_t searchesBefore = 0;
     LoadResult load;
     BookTotals books;
     SubmitVerdict submitVerdict;
--- a/tools/bench/tests/test_bench_pieces.cpp
+++ b/tools/bench/tests/test_bench_pieces.cpp
@@ -67,6 +67,7 @@
     BOOST_TEST((checked.outcome == Outcome::Done));
     BOOST_TEST(checked.falseClaim == "");
     BOOST_TEST(!checked.complete);
+    BOOST_TEST(checked.missing.at("zone_out") == 1U);
     BOOST_TEST(checker.groups(0) == 3U);
     auto answer = makeAnswer();
     for (unsigned row = 0; row < rowsPerShard; ++row)
@@ -185,9 +186,9 @@
 {
     RunReport report;
     report.scenario = "steady";
-    report.load.samples = { { 1s, 20ms, true, true, true }, { 2s, 40ms, true, true, false } };
-    report.load.neededSubrequests = 20;
-    report.books.searches = 22;
+    report.load.samples = { { 1s, 20ms, true, true, true, 10 }, { 2s, 40ms, true, true, false, 10 } };
+    report.searchesBefore = 5;
+    report.books.searches = 27;
     evaluate(report, 1s);
     BOOST_TEST(report.violations.empty());
     BOOST_TEST(report.fullCoveragePercent == 50.0);
