--- a/libs/membership/tests/test_view.cpp
+++ b/libs/membership/tests/test_view.cpp
@@ -15,9 +15,10 @@
     View view;
     view.zone = AvailabilityZone("luzon-a");
     view.number = { 7 };
-    for (std::size_t i = 0; i < count; ++i)
-        view.members.push_back(
-            { VmId("vm-" + std::to_string(i)), { 100 + i }, "127.0.0.1:9", { 1 + i }, true });
+    for (std::size_t i = 0; i < count; ++i) {
+        const VmId vm("vm-" + std::to_string(i));
+        view.members.push_back({ vm, { 100 + i }, "127.0.0.1:9", { 1 + i }, true });
+    }
     view.departing.push_back({ VmId("vm-old"), { 5 }, "127.0.0.1:8", { 1 }, false });
     view.settled = { VmId("vm-0"), VmId("vm-old") };
     view.lastRemoval = { 6 };
