Measure processor time, memory and control traffic of a daemon

Cause: docs/CAPACITY.md needs measured slopes. Change: gauges for processor time of process and control thread, resident memory, and counters of the bytes between control threads.

--- a/libs/daemon/src/control.cpp
+++ b/libs/daemon/src/control.cpp
@@ -64,7 +64,7 @@
 } // namespace
 
 Control::Control(boost::asio::io_context& ioContext, const Settings& settings, Incarnation incarnation,
-    std::string ownAddress, Hooks hooks)
+    std::string ownAddress, Traffic traffic, Hooks hooks)
     : ioContext_(ioContext)
     , settings_(settings)
     , ownAddress_(std::move(ownAddress))
@@ -90,6 +90,7 @@
     , heartbeatTimer_(ioContext)
     , vmTimer_(ioContext)
 {
+    network_.countBytes(traffic.sent, traffic.received);
 }
 
 Control::~Control() { *alive_ = false; }
--- a/libs/daemon/src/control.h
+++ b/libs/daemon/src/control.h
@@ -37,8 +37,14 @@
         std::function<void()> onHandOverDone;
     };
 
+    /** Bytes of the messages between the control threads of daemons. */
+    struct Traffic {
+        telemetry::Counter& sent;
+        telemetry::Counter& received;
+    };
+
     Control(boost::asio::io_context& ioContext, const Settings& settings, Incarnation incarnation,
-        std::string ownAddress, Hooks hooks);
+        std::string ownAddress, Traffic traffic, Hooks hooks);
     ~Control();
 
     void start();
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "control.h"
+#include "process_metrics.h"
 #include "query_service.h"
 #include "telemetry/log.h"
 #include "telemetry/trace.h"
@@ -139,6 +140,9 @@
     {
         const auto metrics = entryMetrics(metrics_);
         queryMetrics_.emplace(makeQueryMetrics(metrics_));
+        addProcessMetrics(metrics_);
+        metrics_.gauge("banyancroft_control_cpu_seconds_total", "Processor time of the control thread",
+            [this] { return controlCpu_.seconds(); });
         const wire::Hello hello { settings_.vm, incarnation_, settings_.zone, {}, false };
         std::vector<Worker*> all;
         for (unsigned index = 0; index < settings_.trafficThreads; ++index) {
@@ -197,8 +201,8 @@
             collectInFlight(std::move(callback));
         };
         hooks.onHandOverDone = [this] { handOverDone_ = true; };
-        control_
-            = std::make_unique<Control>(ioContext_, settings_, incarnation_, ownAddress, std::move(hooks));
+        control_ = std::make_unique<Control>(ioContext_, settings_, incarnation_, ownAddress,
+            Control::Traffic { controlSent_, controlReceived_ }, std::move(hooks));
     }
 
     std::optional<std::string> listenForCallers(Error& reason)
@@ -243,6 +247,7 @@
                   if (!hello)
                       return connection->close();
                   if (hello->control) {
+                      connection->countBytes(controlSent_, controlReceived_);
                       *vm = hello->vm;
                       return;
                   }
@@ -375,6 +380,7 @@
 
     void scheduleReadiness()
     {
+        controlCpu_.sample();
         ready_ = !stopping_ && control_->serving() && control_->settled();
         stopTimer_.expires_after(std::chrono::milliseconds(50));
         stopTimer_.async_wait([this](const boost::system::error_code& code) {
@@ -478,6 +484,11 @@
     boost::asio::steady_timer stopTimer_;
     telemetry::Metrics metrics_;
     telemetry::TraceRing traces_;
+    telemetry::Counter& controlSent_ = metrics_.counter(
+        "banyancroft_control_sent_bytes_total", "Bytes sent between control threads, store excluded");
+    telemetry::Counter& controlReceived_ = metrics_.counter(
+        "banyancroft_control_received_bytes_total", "Bytes received between control threads, store excluded");
+    ThreadCpuTime controlCpu_;
     std::optional<QueryMetrics> queryMetrics_;
     std::vector<std::unique_ptr<QueryService>> services_;
     std::vector<std::unique_ptr<Worker>> workers_;
--- a/libs/daemon/src/peer_connection.cpp
+++ b/libs/daemon/src/peer_connection.cpp
@@ -42,6 +42,8 @@
                 return;
             if (code)
                 return self->fail(unavailable(code));
+            if (self->received_)
+                self->received_->add(size);
             self->frames_.append(std::string_view(self->readBuffer_.data(), size));
             if (self->handleFrames())
                 self->read();
@@ -79,6 +81,8 @@
 void PeerConnection::write()
 {
     std::swap(writing_, queued_);
+    if (sent_)
+        sent_->add(writing_.size());
     boost::asio::async_write(socket_, boost::asio::buffer(writing_),
         [self = shared_from_this()](const boost::system::error_code& code, std::size_t) {
             if (self->closed_)
--- a/libs/daemon/src/peer_connection.h
+++ b/libs/daemon/src/peer_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "telemetry/metrics.h"
 #include "wire/codec.h"
 
 #include <boost/asio/io_context.hpp>
@@ -41,6 +42,13 @@
 
     std::uint64_t id() const { return id_; }
 
+    /** Adds sent and received bytes to these counters from now on; they outlive the connection. */
+    void countBytes(telemetry::Counter& sent, telemetry::Counter& received)
+    {
+        sent_ = &sent;
+        received_ = &received;
+    }
+
     /** Takes the socket and the unread bytes, for the hand-over to another thread. The object is then closed.
      */
     std::pair<int, wire::FrameReader> release();
@@ -60,6 +68,8 @@
     std::string queued_;
     std::string writing_;
     bool closed_ = false;
+    telemetry::Counter* sent_ = nullptr;
+    telemetry::Counter* received_ = nullptr;
 };
 
 } // namespace banyancroft::daemon
--- a/libs/daemon/src/peer_network.cpp
+++ b/libs/daemon/src/peer_network.cpp
@@ -121,6 +121,8 @@
     peer.connection
         = std::make_shared<PeerConnection>(std::move(socket), nextConnectionId(), std::move(hooks));
     const auto connection = peer.connection;
+    if (sent_ && received_)
+        connection->countBytes(*sent_, *received_);
     const auto waiting = std::exchange(peer.waiting, {});
     connection->start();
     connection->send(hello_);
--- a/libs/daemon/src/peer_network.h
+++ b/libs/daemon/src/peer_network.h
@@ -29,6 +29,13 @@
     PeerNetwork(boost::asio::io_context& ioContext, wire::Hello hello, Hooks hooks);
     ~PeerNetwork();
 
+    /** Counts the bytes of all connections made from now on; the counters outlive this object. */
+    void countBytes(telemetry::Counter& sent, telemetry::Counter& received)
+    {
+        sent_ = &sent;
+        received_ = &received;
+    }
+
     /** Sends to the daemon at `address` (IP:port). Failures come through onDisconnected. */
     void send(const std::string& address, wire::Message message);
     void close();
@@ -49,6 +56,8 @@
     const wire::Hello hello_;
     Hooks hooks_;
     std::unordered_map<std::string, Peer> peers_;
+    telemetry::Counter* sent_ = nullptr;
+    telemetry::Counter* received_ = nullptr;
     /** Ends callbacks that arrive after this object is gone. */
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
