Add the operator's client banyancroftctl

Operators send statements, check a document and load the first one. The exit code separates refused, outcome unknown and conflict, so that scripts know whether to repeat; a wrong statement, flag or file ends with 2 and sends nothing.

--- /dev/null
+++ b/banyancroftctl/main.cpp
@@ -0,0 +1,109 @@
+#include "ctl/run.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/reflection.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <absl/strings/match.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace {
+
+// An environment variable replaces the default of a flag; the flag itself goes before both.
+std::string defaultOf(const char* variable, const std::string& fallback)
+{
+    const char* value = std::getenv(variable);
+    return value == nullptr ? fallback : std::string(value);
+}
+
+const banyancroft::ctl::RawSettings defaults;
+
+} // namespace
+
+ABSL_FLAG(std::string, daemon, defaultOf("BANYANCROFT_CTL_DAEMON", defaults.daemon),
+    "IP:port of a daemon; BANYANCROFT_CTL_DAEMON");
+// Its variable is read later, since --help prints defaults.
+ABSL_FLAG(std::string, token, defaults.token,
+    "credential of operators' commands; prefer BANYANCROFT_CTL_TOKEN, since flags show in the process list");
+ABSL_FLAG(std::string, timeout, defaultOf("BANYANCROFT_CTL_TIMEOUT", defaults.timeout),
+    "longest time until the answer, as 500ms or 10s; BANYANCROFT_CTL_TIMEOUT");
+ABSL_FLAG(std::string, format, defaultOf("BANYANCROFT_CTL_FORMAT", defaults.format),
+    "table or json; BANYANCROFT_CTL_FORMAT");
+
+namespace {
+
+using namespace banyancroft;
+
+constexpr const char* usageText = R"(operator's client of the banyancroft query tier.
+
+    banyancroftctl 'STATEMENT'             sends a statement; see docs/query-language.md
+    banyancroftctl config check FILE       checks a configuration document, sends nothing
+    banyancroftctl config put FILE [if version N] [force]
+
+Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 outcome unknown, 4 conflict.)";
+
+// Abseil exits with 1 on a wrong flag; this finds it first. A flag without "=" takes the next argument.
+bool checkFlagNames(int argc, char** argv, Error& reason)
+{
+    for (int i = 1; i < argc; ++i) {
+        const std::string_view text(argv[i]);
+        if (text == "--" || !text.starts_with("-"))
+            return true;
+        const std::size_t nameEnd = std::min(text.find('='), text.size());
+        const std::string name(
+            text.substr(std::min<std::size_t>(2, nameEnd), nameEnd - std::min<std::size_t>(2, nameEnd)));
+        if (name == "help" || name == "version")
+            continue;
+        if (!text.starts_with("--") || absl::FindCommandLineFlag(name) == nullptr) {
+            reason = { ErrorKind::InvalidInput, "unknown flag \"" + std::string(text) + "\"", "see --help" };
+            return false;
+        }
+        if (nameEnd != text.size())
+            continue;
+        if (++i == argc) {
+            reason = { ErrorKind::InvalidInput, "--" + name + " has no value", "write --" + name + "=VALUE" };
+            return false;
+        }
+    }
+    return true;
+}
+
+int usageError(const Error& reason)
+{
+    std::cerr << "banyancroftctl: " << reason.message << "; " << reason.remedy << "\n";
+    return ctl::ExitUsage;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] { return std::string("banyancroftctl ") + BANYANCROFT_VERSION + "\n"; };
+    usage.contains_helpshort_flags
+        = [](absl::string_view file) { return absl::EndsWith(file, "banyancroftctl/main.cpp"); };
+    usage.contains_help_flags = usage.contains_helpshort_flags;
+    absl::SetFlagsUsageConfig(usage);
+    absl::SetProgramUsageMessage(usageText);
+    Error reason;
+    if (!checkFlagNames(argc, argv, reason))
+        return usageError(reason);
+    const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
+    std::string token = absl::GetFlag(FLAGS_token);
+    if (token.empty())
+        token = defaultOf("BANYANCROFT_CTL_TOKEN", "");
+    const auto settings = ctl::checkSettings(
+        { absl::GetFlag(FLAGS_daemon), token, absl::GetFlag(FLAGS_timeout), absl::GetFlag(FLAGS_format) },
+        reason);
+    if (!settings)
+        return usageError(reason);
+    const std::vector<std::string> arguments(rest.begin() + 1, rest.end());
+    return ctl::run(*settings, arguments, std::cout, std::cerr);
+}
