Report lost sub-requests with their upstream

Cause: after a daemon was killed, 2 % of the searches waited for their deadline: the replies made up for its sub-requests named no upstream, and the coordinator dropped them as foreign. Change: the entry keeps the upstream of each sub-request on its way.

--- a/libs/daemon/src/entry.cpp
+++ b/libs/daemon/src/entry.cpp
@@ -32,6 +32,7 @@
 struct Entry::ActiveSearch {
     struct Sent {
         wire::SequenceNumber sequence;
+        UpstreamId upstream;
         std::string home;
     };
 
@@ -154,7 +155,7 @@
         batch.index = item.snapshot.index;
         batch.items.push_back(
             { item.sequence, *item.upstream, { item.shards.begin(), item.shards.end() }, item.hedge });
-        active.sent.push_back({ item.sequence, std::string(home) });
+        active.sent.push_back({ item.sequence, *item.upstream, std::string(home) });
     }
     for (auto& [home, batch] : batches) {
         batch.query = active.query;
@@ -266,6 +267,7 @@
                 continue;
             auto reply = lost;
             reply.sequence = item.sequence;
+            reply.upstream = item.upstream;
             // Sub-requests that were answered already are known to the coordinator, which drops this reply.
             active.coordinator.onReply(std::move(reply), now, active.actions);
         }
