Do not charge refusals before the upstream to the retry budget

Cause: in a rolling restart, fresh daemons met homes without authority, used up their retry budget on them and then lacked shards that other upstreams serve (1,616 of 1,702 missing shards named retry_budget). The reason of the last failure was hidden by the budget's own.

--- a/libs/daemon/src/entry.cpp
+++ b/libs/daemon/src/entry.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace banyancroft::daemon {
 
@@ -138,7 +139,8 @@
 void Entry::sendAll(ActiveSearch& active)
 {
     const TimePoint now = hooks_.now();
-    std::unordered_map<std::string_view, wire::SubrequestBatch> batches;
+    // A restart of the query may pin another snapshot within one round of actions; a batch has only one.
+    std::map<std::pair<std::string_view, search::Snapshot>, wire::SubrequestBatch> batches;
     for (const auto& item : active.actions.sends) {
         const std::string_view home = table_ ? table_->homeOf(*item.upstream) : std::string_view {};
         metrics_.subrequests.add();
@@ -150,21 +152,21 @@
             replyWithoutHome(active.query, std::move(reply));
             continue;
         }
-        auto& batch = batches[home];
+        auto& batch = batches[{ home, item.snapshot }];
         batch.layout = item.snapshot.layout;
         batch.index = item.snapshot.index;
         batch.items.push_back(
             { item.sequence, *item.upstream, { item.shards.begin(), item.shards.end() }, item.hedge });
         active.sent.push_back({ item.sequence, *item.upstream, std::string(home) });
     }
-    for (auto& [home, batch] : batches) {
+    for (auto& [key, batch] : batches) {
         batch.query = active.query;
         batch.remainingMicros = remainingMicros(active.deadline, now);
         batch.traceparent = active.traceparent;
         batch.collection = active.collection;
         batch.where = active.where;
         batch.limit = active.limit;
-        hooks_.send(std::string(home), std::move(batch));
+        hooks_.send(std::string(key.first), std::move(batch));
     }
     std::unordered_map<std::string, wire::Cancel> cancels;
     for (const auto& item : active.actions.cancels) {
@@ -372,6 +374,8 @@
 void Entry::onSubmitReply(ActiveSubmit& active, wire::SubreplyItem item)
 {
     active.sequence.reset();
+    if (!active.tried.empty())
+        cluster_.observe(active.tried.back(), item, {}, hooks_.now());
     if (!active.result.attempts.empty())
         active.result.attempts.back().second = item.reason;
     const TimePoint now = hooks_.now();
--- a/libs/search/include/search/search_coordinator.h
+++ b/libs/search/include/search/search_coordinator.h
@@ -194,6 +194,8 @@
         std::uint8_t failures = 0;
         Reason reason = Reason::None;
     };
+    /** Whether a refusal that says nothing about load is retried at once, or all are after a wait. */
+    enum class RetryPace : std::uint8_t { ByReason, Backoff };
     /** What one attempt, that is one snapshot, has brought. */
     struct Attempt {
         SnapshotChoice plan;
@@ -217,7 +219,7 @@
     Reason judge(const wire::SubreplyItem& reply) const;
     void accept(std::uint32_t place, wire::SubreplyItem&& reply, TimePoint now, Actions& actions);
     void reject(std::uint32_t place, TimePoint now, Actions& actions);
-    void scheduleRetry(std::uint32_t place, TimePoint now, Actions& actions);
+    void scheduleRetry(std::uint32_t place, TimePoint now, Actions& actions, RetryPace pace);
     void retry(std::uint32_t place, TimePoint now, Actions& actions);
     void hedge(std::uint32_t place, TimePoint now, Actions& actions);
     void lack(std::uint32_t place, Reason reason);
--- a/libs/search/src/search_coordinator.cpp
+++ b/libs/search/src/search_coordinator.cpp
@@ -38,6 +38,25 @@
 /** Refusals that say nothing about load, so that another upstream can be asked at once. */
 bool retriesAtOnce(Reason reason) { return reason == Reason::WrongHome || isVersionMismatch(reason); }
 
+/**
+ * Refusals of an entry or home that had no way or no right to send. A home that broke down with work in
+ * flight counts too: its upstreams' load is gone or going.
+ */
+bool refusedBeforeUpstream(Reason reason)
+{
+    switch (reason) {
+    case Reason::WrongHome:
+    case Reason::NoAuthority:
+    case Reason::HomeUnreachable:
+    case Reason::UpstreamDraining:
+    case Reason::ZoneOut:
+    case Reason::Stopping:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
 void Actions::clear()
@@ -133,7 +152,9 @@
         return choice.reason;
     if (kind == SubrequestKind::Hedge && !policy_.hedgeBudget().take())
         return Reason::Overloaded;
-    if (kind == SubrequestKind::Retry && !policy_.retryBudget().take())
+    // A refusal on the way to the upstream put no load on it, so its retry costs nothing of the budget.
+    const bool charged = kind == SubrequestKind::Retry && !refusedBeforeUpstream(groups_[group].reason);
+    if (charged && !policy_.retryBudget().take())
         return Reason::RetryBudget;
 
     if (choice.trial)
@@ -319,7 +340,7 @@
         group.due = TimePoint::max();
         return;
     }
-    scheduleRetry(subrequest.group, now, actions);
+    scheduleRetry(subrequest.group, now, actions, RetryPace::ByReason);
 }
 
 Duration SearchCoordinator::backoff(std::uint8_t failures)
@@ -330,7 +351,7 @@
     return wait / 2 + Duration(static_cast<std::int64_t>(random_() % (spread + 1)));
 }
 
-void SearchCoordinator::scheduleRetry(std::uint32_t place, TimePoint now, Actions& actions)
+void SearchCoordinator::scheduleRetry(std::uint32_t place, TimePoint now, Actions& actions, RetryPace pace)
 {
     auto& group = groups_[place];
     group.phase = GroupPhase::Waiting;
@@ -339,7 +360,7 @@
         lack(place, group.reason);
         return;
     }
-    if (retriesAtOnce(group.reason)) {
+    if (pace == RetryPace::ByReason && retriesAtOnce(group.reason)) {
         retry(place, now, actions);
         return;
     }
@@ -365,8 +386,8 @@
     }
     if (isVersionMismatch(group.reason))
         restartWanted_ = true;
-    group.reason = reason;
-    scheduleRetry(place, now, actions);
+    // The group keeps the reason of its last failure, which tells more than the lack of budget.
+    scheduleRetry(place, now, actions, RetryPace::Backoff);
 }
 
 void SearchCoordinator::hedge(std::uint32_t place, TimePoint now, Actions& actions)
