Add benchmarks of an admission decision and of a sub-request in the home

The place in the queue is now found by binary search and the estimate of a queued request needs no division.

--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -27,3 +27,15 @@
         set_tests_properties(${test} PROPERTIES TIMEOUT 120 ENVIRONMENT "RC_PARAMS=seed=20261204")
     endforeach()
 endfunction()
+
+# Adds the program NAME_benchmark from benchmarks/bench_*.cpp of the calling folder. It is built on demand
+# only (`cmake --build build --target NAME_benchmark`) and is no part of the test run.
+function(banyancroft_benchmark NAME)
+    find_package(benchmark QUIET)
+    if(NOT benchmark_FOUND)
+        return()
+    endif()
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/benchmarks/bench_*.cpp)
+    add_executable(${NAME}_benchmark EXCLUDE_FROM_ALL ${sources})
+    target_link_libraries(${NAME}_benchmark PRIVATE banyancroft_${NAME} benchmark::benchmark_main Threads::Threads)
+endfunction()
--- a/libs/admission/src/upstream_admission.cpp
+++ b/libs/admission/src/upstream_admission.cpp
@@ -114,10 +114,10 @@
     if (limit == 0)
         return inheritedCounts(now) && authority_.inheritedUntil + serviceTime_ <= deadline;
     const std::size_t freeSlots = limit - std::min(limit, running_);
-    Duration wait {};
-    if (ahead >= freeSlots)
-        wait = serviceTime_ * static_cast<std::int64_t>(ahead - freeSlots + 1) / limit;
-    return now + wait + serviceTime_ <= deadline;
+    const Duration spare = deadline - now - serviceTime_;
+    // Slots become free one after the other, each a part of the service time after the one before.
+    const auto turns = static_cast<std::int64_t>(ahead >= freeSlots ? ahead - freeSlots + 1 : 0);
+    return spare >= Duration::zero() && serviceTime_ * turns <= spare * limit;
 }
 
 std::optional<Reason> UpstreamAdmission::offer(
@@ -133,8 +133,8 @@
     if (queue_.size() >= queueLimit_)
         return Reason::QueueFull;
     // Equal deadlines are served in order of arrival, so the new entry goes before its equals.
-    const auto place = std::find_if(
-        queue_.begin(), queue_.end(), [deadline](const Entry& entry) { return entry.deadline <= deadline; });
+    const auto place = std::partition_point(
+        queue_.begin(), queue_.end(), [deadline](const Entry& entry) { return entry.deadline > deadline; });
     const auto ahead = static_cast<std::size_t>(queue_.end() - place);
     if (!canFinish(deadline, ahead, now, allowed))
         return Reason::DeadlineTooShort;
