--- a/libs/daemon/src/control.cpp
+++ b/libs/daemon/src/control.cpp
@@ -18,6 +18,8 @@
 constexpr int silentHeartbeats = 4;
 // Safety net should both watchers of a zone hang: 560 daemons make 56 reads a second of it.
 constexpr std::chrono::seconds slowReadPeriod { 10 };
+// A join takes one promise and one longest deadline, 4 s by default.
+constexpr Duration settlePatience = std::chrono::seconds(10);
 constexpr Duration storeDeadline = std::chrono::seconds(1);
 
 platform::EtcdStore::Options storeOptions(const Settings& settings)
@@ -62,7 +64,7 @@
 } // namespace
 
 Control::Control(boost::asio::io_context& ioContext, const Settings& settings, Incarnation incarnation,
-    std::string ownAddress, Hooks hooks)
+    std::string ownAddress, Traffic traffic, Hooks hooks)
     : ioContext_(ioContext)
     , settings_(settings)
     , ownAddress_(std::move(ownAddress))
@@ -88,6 +90,7 @@
     , heartbeatTimer_(ioContext)
     , vmTimer_(ioContext)
 {
+    network_.countBytes(traffic.sent, traffic.received);
 }
 
 Control::~Control() { *alive_ = false; }
@@ -189,10 +192,14 @@
 
 void Control::readStore()
 {
-    store_.get(configKey, [this, alive = alive_](std::optional<platform::Listing> listing, const Error&) {
-        if (*alive && listing)
+    store_.get(configstore::documentKey,
+        [this, alive = alive_](std::optional<platform::Listing> listing, const Error&) {
+            if (!*alive || !listing)
+                return;
+            if (listing->entries.empty())
+                return configuration_.onStoreEmpty();
             onStoreValues(listing->entries);
-    });
+        });
     // The members' records lie below the same prefix; they are few and this is read seldom.
     store_.list(zonePrefix, [this, alive = alive_](std::optional<platform::Listing> listing, const Error&) {
         if (*alive && listing)
@@ -210,7 +217,7 @@
 void Control::watchStore()
 {
     // Two prefixes, since a watch of everything would also deliver each claim.
-    watchPrefix(std::string(configKey));
+    watchPrefix(std::string(configstore::documentKey));
     watchPrefix(std::string(zonePrefix));
 }
 
@@ -246,7 +253,7 @@
 void Control::onStoreValues(std::span<const platform::KeyValue> values)
 {
     for (const auto& value : values) {
-        if (value.key == configKey)
+        if (value.key == configstore::documentKey)
             configuration_.onStoreValue(value);
         else
             members_.onStoreValue(value);
@@ -259,6 +266,11 @@
         { { "version", std::to_string(document->version.value) },
             { "layout", std::to_string(document->layout.value) } });
     document_ = std::move(document);
+    if (settings_.testNoHedge) {
+        auto copy = std::make_shared<config::Document>(*document_);
+        copy->policy.hedge = false;
+        document_ = std::move(copy);
+    }
     std::vector<UpstreamId> own;
     for (const auto& service : document_->services) {
         for (const auto& group : service.groups) {
@@ -281,7 +293,9 @@
     for (const auto& service : document_->services) {
         for (const auto& group : service.groups) {
             for (const auto& upstream : group.upstreams) {
-                if (const auto* home = members_.views().homeOf(upstream.zone, upstream.id))
+                if (settings_.testDirect)
+                    table->homes.emplace(upstream.id, ownAddress_);
+                else if (const auto* home = members_.views().homeOf(upstream.zone, upstream.id))
                     table->homes.emplace(upstream.id, home->address);
             }
         }
@@ -299,6 +313,12 @@
     return zone != document_->zones.end() && zone->serving;
 }
 
+bool Control::settled() const
+{
+    // During an outage of the store a new daemon cannot join, but serves as an entry all the same.
+    return members_.membership().active() || BootClock::now() - startedAt_ >= settlePatience;
+}
+
 Authority Control::authority(const UpstreamId& upstream) const
 {
     return members_.membership().authority(upstream);
@@ -359,7 +379,7 @@
 {
     wire::StateReply state;
     if (document_ && document_->version > request.haveConfig)
-        state.config = configuration_.text();
+        state.config = configuration_.registry().text();
     for (const auto* view : members_.views().all()) {
         auto theirs = std::find_if(request.haveViews.begin(), request.haveViews.end(),
             [view](const auto& candidate) { return candidate.zone == view->zone; });
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "control.h"
+#include "process_metrics.h"
 #include "query_service.h"
 #include "telemetry/log.h"
 #include "telemetry/trace.h"
@@ -139,6 +140,9 @@
     {
         const auto metrics = entryMetrics(metrics_);
         queryMetrics_.emplace(makeQueryMetrics(metrics_));
+        addProcessMetrics(metrics_);
+        metrics_.gauge("banyancroft_control_cpu_seconds_total", "Processor time of the control thread",
+            [this] { return controlCpu_.seconds(); });
         const wire::Hello hello { settings_.vm, incarnation_, settings_.zone, {}, false };
         std::vector<Worker*> all;
         for (unsigned index = 0; index < settings_.trafficThreads; ++index) {
@@ -188,6 +192,8 @@
         Control::Hooks hooks;
         hooks.onRouting = [this](const RoutingTablePointer& table) { publish(table); };
         hooks.onAuthority = [this](const UpstreamId& upstream, const Authority& authority) {
+            if (settings_.testDirect)
+                return;
             Worker& owner = workers_.front()->ownerOf(upstream);
             owner.post([&owner, upstream, authority] { owner.home().setAuthority(upstream, authority); });
         };
@@ -195,8 +201,8 @@
             collectInFlight(std::move(callback));
         };
         hooks.onHandOverDone = [this] { handOverDone_ = true; };
-        control_
-            = std::make_unique<Control>(ioContext_, settings_, incarnation_, ownAddress, std::move(hooks));
+        control_ = std::make_unique<Control>(ioContext_, settings_, incarnation_, ownAddress,
+            Control::Traffic { controlSent_, controlReceived_ }, std::move(hooks));
     }
 
     std::optional<std::string> listenForCallers(Error& reason)
@@ -241,6 +247,7 @@
                   if (!hello)
                       return connection->close();
                   if (hello->control) {
+                      connection->countBytes(controlSent_, controlReceived_);
                       *vm = hello->vm;
                       return;
                   }
@@ -321,16 +328,30 @@
         for (const auto& service : document.services) {
             for (const auto& group : service.groups) {
                 for (const auto& upstream : group.upstreams) {
-                    if (upstream.zone != settings_.zone)
+                    if (upstream.zone != settings_.zone && !settings_.testDirect)
                         continue;
                     home::Target target { upstream, service.id, service.slots, service.connections,
                         service.coldLimit, serving, control_->authority(upstream.id) };
+                    if (settings_.testDirect)
+                        useFixedShare(target);
                     targets[workers_.front()->ownerOf(upstream.id).index()].push_back(std::move(target));
                 }
             }
         }
     }
 
+    /** The measured baseline: each daemon of today's deployments takes an equal part of an upstream. */
+    static void useFixedShare(home::Target& target)
+    {
+        constexpr unsigned daemons = 8;
+        constexpr unsigned fewestConnections = 2;
+        target.slots = std::max(1U, target.slots / daemons);
+        target.coldLimit = std::max(1U, target.coldLimit / daemons);
+        target.connections = std::max(fewestConnections, target.connections / daemons);
+        target.zoneServing = true;
+        target.authority = { Share::Full, TimePoint::max(), 0, {} };
+    }
+
     void collectInFlight(std::function<void(std::vector<membership::InFlight>)> callback)
     {
         struct Collection {
@@ -359,7 +380,8 @@
 
     void scheduleReadiness()
     {
-        ready_ = !stopping_ && control_->serving();
+        controlCpu_.sample();
+        ready_ = !stopping_ && control_->serving() && control_->settled();
         stopTimer_.expires_after(std::chrono::milliseconds(50));
         stopTimer_.async_wait([this](const boost::system::error_code& code) {
             if (!code && !stopping_)
@@ -462,6 +484,11 @@
     boost::asio::steady_timer stopTimer_;
     telemetry::Metrics metrics_;
     telemetry::TraceRing traces_;
+    telemetry::Counter& controlSent_ = metrics_.counter(
+        "banyancroft_control_sent_bytes_total", "Bytes sent between control threads, store excluded");
+    telemetry::Counter& controlReceived_ = metrics_.counter(
+        "banyancroft_control_received_bytes_total", "Bytes received between control threads, store excluded");
+    ThreadCpuTime controlCpu_;
     std::optional<QueryMetrics> queryMetrics_;
     std::vector<std::unique_ptr<QueryService>> services_;
     std::vector<std::unique_ptr<Worker>> workers_;
