--- a/tools/bench/src/cluster.h
+++ b/tools/bench/src/cluster.h
@@ -2,6 +2,7 @@
 
 #include "child.h"
 #include "config/document.h"
+#include "platform/http_client.h"
 
 #include <array>
 #include <atomic>
@@ -64,10 +65,11 @@
 
     std::string platformAdmin(std::string_view target, const std::string& body = {}) const;
     std::string upstreamAdmin(std::string_view target, const std::string& body = {}) const;
-    /** Statement of an operator. @return HTTP status; zero without an answer */
-    unsigned operate(std::size_t daemon, const std::string& statement) const;
-    /** Version of the configuration at the store. */
-    std::uint64_t storedVersion() const;
+    /** Statement of an operator; status zero without an answer. */
+    platform::HttpAnswer operate(std::size_t daemon, const std::string& statement) const;
+    /** The configuration at the store. */
+    std::uint64_t storedVersion() const { return storedDocument().version.value; }
+    config::Document storedDocument() const;
 
 private:
     std::string logPath(const std::string& name) const { return settings_.logFolder + "/" + name + ".log"; }
--- a/tools/bench/src/report.cpp
+++ b/tools/bench/src/report.cpp
@@ -157,8 +157,10 @@
         { "failed_stops", report.scenarioResult.failedStops },
         { "lost_changes", report.scenarioResult.lostChanges },
         { "take_out_seconds", takeOut ? Json(*takeOut) : Json() }, { "reasons", report.load.reasons },
-        { "missing_shards", report.load.missingShards }, { "faults", report.load.faults },
-        { "problems", report.scenarioResult.problems }, { "violations", report.violations } };
+        { "missing_shards", report.load.missingShards },
+        { "platform", report.platformBooks.empty() ? Json() : Json::parse(report.platformBooks) },
+        { "faults", report.load.faults }, { "problems", report.scenarioResult.problems },
+        { "violations", report.violations } };
     return json.dump(2) + "\n";
 }
 
--- a/tools/bench/src/report.h
+++ b/tools/bench/src/report.h
@@ -37,6 +37,8 @@
     std::uint64_t searchesBefore = 0;
     LoadResult load;
     BookTotals books;
+    /** Answer of GET /books of the platform emulator: calls per kind. */
+    std::string platformBooks;
     SubmitVerdict submitVerdict;
     ScenarioResult scenarioResult;
     /** Empty when all counts that must be zero are; otherwise their names and values. */
