--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "control.h"
+#include "process_metrics.h"
 #include "query_service.h"
 #include "telemetry/log.h"
 #include "telemetry/trace.h"
@@ -139,12 +140,15 @@
     {
         const auto metrics = entryMetrics(metrics_);
         queryMetrics_.emplace(makeQueryMetrics(metrics_));
+        addProcessMetrics(metrics_);
+        metrics_.gauge("banyancroft_control_cpu_seconds_total", "Processor time of the control thread",
+            [this] { return controlCpu_.seconds(); });
         const wire::Hello hello { settings_.vm, incarnation_, settings_.zone, {}, false };
         std::vector<Worker*> all;
         for (unsigned index = 0; index < settings_.trafficThreads; ++index) {
             Worker::Hooks hooks;
-            hooks.onHttp = [this, index](HttpRequest request, HttpServer::Respond respond) {
-                services_[index]->handle(std::move(request), std::move(respond));
+            hooks.onHttp = [this, index](const HttpRequest& request, HttpServer::Respond respond) {
+                services_[index]->handle(request, std::move(respond));
             };
             hooks.claim = [this, index](const ServiceId& service, const IdempotencyKey& key,
                               std::string fingerprint, TimePoint deadline,
@@ -170,17 +174,15 @@
         QueryService::Hooks hooks;
         hooks.ready = [this] { return ready_.load(); };
         hooks.metricsPage = [this] { return metrics_.write(); };
-        hooks.command = [this, &worker](
-                            query::Statement statement, std::function<void(CommandResult)> callback) {
-            boost::asio::post(ioContext_,
-                [this, &worker, statement = std::move(statement), callback = std::move(callback)]() mutable {
-                    runCommand(std::move(statement), [&worker, callback](CommandResult result) {
-                        worker.post([callback, result = std::move(result)]() mutable {
-                            callback(std::move(result));
-                        });
-                    });
-                });
-        };
+        hooks.command
+            = [this, &worker](query::Statement statement, std::function<void(CommandResult)> callback) {
+                  boost::asio::post(ioContext_,
+                      [this, &worker, statement = std::move(statement), callback = std::move(callback)] {
+                          control_->runCommand(statement, [&worker, callback](CommandResult result) {
+                              worker.post([callback, result = std::move(result)] { callback(result); });
+                          });
+                      });
+              };
         return std::make_unique<QueryService>(
             worker.entry(), traces_, *queryMetrics_, settings_, randomNumber(), std::move(hooks));
     }
@@ -188,8 +190,10 @@
     void makeControl(const std::string& ownAddress)
     {
         Control::Hooks hooks;
-        hooks.onRouting = [this](RoutingTablePointer table) { publish(std::move(table)); };
+        hooks.onRouting = [this](const RoutingTablePointer& table) { publish(table); };
         hooks.onAuthority = [this](const UpstreamId& upstream, const Authority& authority) {
+            if (settings_.testDirect)
+                return;
             Worker& owner = workers_.front()->ownerOf(upstream);
             owner.post([&owner, upstream, authority] { owner.home().setAuthority(upstream, authority); });
         };
@@ -197,8 +201,8 @@
             collectInFlight(std::move(callback));
         };
         hooks.onHandOverDone = [this] { handOverDone_ = true; };
-        control_
-            = std::make_unique<Control>(ioContext_, settings_, incarnation_, ownAddress, std::move(hooks));
+        control_ = std::make_unique<Control>(ioContext_, settings_, incarnation_, ownAddress,
+            Control::Traffic { controlSent_, controlReceived_ }, std::move(hooks));
     }
 
     std::optional<std::string> listenForCallers(Error& reason)
@@ -234,8 +238,8 @@
         hooks.onMessage
             = [this, vm, isV6](const std::shared_ptr<PeerConnection>& connection, wire::Message message) {
                   if (*vm)
-                      return control_->onMessage(
-                          **vm, std::move(message), [weak = std::weak_ptr(connection)](wire::Message reply) {
+                      return control_->onMessage(**vm, std::move(message),
+                          [weak = std::weak_ptr(connection)](const wire::Message& reply) {
                               if (auto target = weak.lock())
                                   target->send(reply);
                           });
@@ -243,6 +247,7 @@
                   if (!hello)
                       return connection->close();
                   if (hello->control) {
+                      connection->countBytes(controlSent_, controlReceived_);
                       *vm = hello->vm;
                       return;
                   }
@@ -300,7 +305,7 @@
         return reply;
     }
 
-    void publish(RoutingTablePointer table)
+    void publish(const RoutingTablePointer& table)
     {
         const bool newDocument = !published_ || published_->document != table->document;
         published_ = table;
@@ -323,20 +328,30 @@
         for (const auto& service : document.services) {
             for (const auto& group : service.groups) {
                 for (const auto& upstream : group.upstreams) {
-                    if (upstream.zone != settings_.zone)
+                    if (upstream.zone != settings_.zone && !settings_.testDirect)
                         continue;
                     home::Target target { upstream, service.id, service.slots, service.connections,
                         service.coldLimit, serving, control_->authority(upstream.id) };
-                    const Worker* owner = &workers_.front()->ownerOf(upstream.id);
-                    for (std::size_t index = 0; index < workers_.size(); ++index) {
-                        if (workers_[index].get() == owner)
-                            targets[index].push_back(std::move(target));
-                    }
+                    if (settings_.testDirect)
+                        useFixedShare(target);
+                    targets[workers_.front()->ownerOf(upstream.id).index()].push_back(std::move(target));
                 }
             }
         }
     }
 
+    /** The measured baseline: each daemon of today's deployments takes an equal part of an upstream. */
+    static void useFixedShare(home::Target& target)
+    {
+        constexpr unsigned daemons = 8;
+        constexpr unsigned fewestConnections = 2;
+        target.slots = std::max(1U, target.slots / daemons);
+        target.coldLimit = std::max(1U, target.coldLimit / daemons);
+        target.connections = std::max(fewestConnections, target.connections / daemons);
+        target.zoneServing = true;
+        target.authority = { Share::Full, TimePoint::max(), 0, {} };
+    }
+
     void collectInFlight(std::function<void(std::vector<membership::InFlight>)> callback)
     {
         struct Collection {
@@ -363,14 +378,10 @@
         }
     }
 
-    void runCommand(query::Statement statement, std::function<void(CommandResult)> callback)
-    {
-        control_->runCommand(std::move(statement), std::move(callback));
-    }
-
     void scheduleReadiness()
     {
-        ready_ = !stopping_ && control_->serving();
+        controlCpu_.sample();
+        ready_ = !stopping_ && control_->serving() && control_->settled();
         stopTimer_.expires_after(std::chrono::milliseconds(50));
         stopTimer_.async_wait([this](const boost::system::error_code& code) {
             if (!code && !stopping_)
@@ -473,6 +484,11 @@
     boost::asio::steady_timer stopTimer_;
     telemetry::Metrics metrics_;
     telemetry::TraceRing traces_;
+    telemetry::Counter& controlSent_ = metrics_.counter(
+        "banyancroft_control_sent_bytes_total", "Bytes sent between control threads, store excluded");
+    telemetry::Counter& controlReceived_ = metrics_.counter(
+        "banyancroft_control_received_bytes_total", "Bytes received between control threads, store excluded");
+    ThreadCpuTime controlCpu_;
     std::optional<QueryMetrics> queryMetrics_;
     std::vector<std::unique_ptr<QueryService>> services_;
     std::vector<std::unique_ptr<Worker>> workers_;
