--- /dev/null
+++ b/libs/wire/fuzz/fuzz_wire.cpp
@@ -0,0 +1,30 @@
+#include "wire/codec.h"
+
+#include <cstdint>
+#include <cstdlib>
+
+// Any bytes are a message or a typed error; a message survives being written and read again.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    using namespace banyancroft;
+    Error reason;
+    const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+    const auto message = wire::decode(bytes, reason);
+    if (!message) {
+        if (!reason)
+            std::abort();
+        return 0;
+    }
+    std::string frame;
+    wire::appendFrame(*message, frame);
+    wire::FrameReader reader;
+    reader.append(frame);
+    const auto again = reader.next(reason);
+    if (!again || again->index() != message->index())
+        std::abort();
+    std::string frameAgain;
+    wire::appendFrame(*again, frameAgain);
+    if (frameAgain != frame)
+        std::abort();
+    return 0;
+}
