--- a/libs/admission/include/admission/upstream_admission.h
+++ b/libs/admission/include/admission/upstream_admission.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "admission/authority.h"
 #include "admission/cold_start_guard.h"
+#include "base/authority.h"
 #include "base/outcome.h"
 #include "base/time.h"
 
--- a/libs/admission/src/authority.cpp
+++ b/libs/admission/src/share.cpp
@@ -1,4 +1,4 @@
-#include "admission/authority.h"
+#include "admission/share.h"
 
 #include <algorithm>
 
