--- a/libs/base/include/base/time.h
+++ b/libs/base/include/base/time.h
@@ -25,6 +25,13 @@
 using Duration = BootClock::duration;
 using TimePoint = BootClock::time_point;
 
+/**
+ * Longest deadline that a request may have. A home that took over waits this long after the old one lost its
+ * authority, since what was sent just before still runs at the upstream; a configuration that allowed more
+ * would let two homes load one upstream.
+ */
+constexpr Duration longestRequestDeadline = std::chrono::seconds(2);
+
 /** Whole microseconds of a duration, never negative. */
 std::int64_t toMicros(Duration duration);
 /** Duration in milliseconds with fraction. */
--- a/libs/config/src/validation.cpp
+++ b/libs/config/src/validation.cpp
@@ -17,8 +17,6 @@
 constexpr unsigned maxConnections = 100'000;
 constexpr unsigned maxQueueLimit = 1'000'000;
 constexpr unsigned maxWarmupAnswers = 1'000'000;
-// A request deadline is also the margin that a take-over waits, so it stays short.
-constexpr Duration maxDeadlineLimit = std::chrono::seconds(60);
 constexpr Duration maxConnectTime = std::chrono::seconds(10);
 
 std::string at(std::string_view array, std::size_t index)
@@ -139,7 +137,7 @@
     {
         const Policy& policy = document_.policy;
         constexpr Duration shortest = std::chrono::milliseconds(1);
-        checkDuration("/policy/max_deadline_ms", policy.maxDeadline, shortest, maxDeadlineLimit);
+        checkDuration("/policy/max_deadline_ms", policy.maxDeadline, shortest, longestRequestDeadline);
         checkDuration("/policy/default_deadline_ms", policy.defaultDeadline, shortest, policy.maxDeadline);
         checkDuration("/policy/answer_reserve_ms", policy.answerReserve, Duration::zero(),
             policy.defaultDeadline - shortest);
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -453,10 +453,16 @@
     {
         remaining_ = remaining;
         const bool finished = remaining.none() && control_->claims().unrecorded() == 0 && handOverDone_;
-        if (finished) {
+        const bool idle = remaining.none() && control_->claims().unrecorded() == 0;
+        // Without the store there is nothing to hand over to; the lease of this daemon lapses by itself.
+        const bool cannotHandOver = idle && control_->members().membership().storeFailing(BootClock::now());
+        if (finished || cannotHandOver) {
+            control_->members().revokeLease();
             log(LogLevel::Info, "daemon", "planned stop complete",
-                { { "millis", std::to_string(toMicros(BootClock::now() - stopBegan_) / 1000) } });
-            return ioContext_.stop();
+                { { "millis", std::to_string(toMicros(BootClock::now() - stopBegan_) / 1000) },
+                    { "hand_over_done", handOverDone_ ? "true" : "false" } });
+            // One more turn lets the revocation leave.
+            return after(stopPollPeriod, [this] { ioContext_.stop(); });
         }
         if (BootClock::now() - stopBegan_ >= settings_.stopLimit)
             return endStop("stop limit reached");
--- a/libs/daemon/src/membership_driver.cpp
+++ b/libs/daemon/src/membership_driver.cpp
@@ -126,6 +126,12 @@
     });
 }
 
+void MembershipDriver::revokeLease()
+{
+    if (lease_)
+        store_.revokeLease(lease_, [](std::optional<bool>, const Error&) {});
+}
+
 void MembershipDriver::perform(const membership::AcquireLease& action)
 {
     store_.grantLease(settings_.lease,
--- a/libs/daemon/src/membership_driver.h
+++ b/libs/daemon/src/membership_driver.h
@@ -56,6 +56,8 @@
     void onPeerView(const membership::View& view);
     void onPromiseRequest(const VmId& from, const wire::PromiseRequest& request);
     void onPromise(const VmId& from, const wire::Promise& promise);
+    /** Ends the lease, so that the member record disappears; after the hand-over is done. */
+    void revokeLease();
     /** Reads the platform's VM list. */
     void listVms();
 
--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -36,7 +36,7 @@
     Duration renewEvery = std::chrono::seconds(5);
     Duration promise = std::chrono::seconds(2);
     /** Longest request deadline: how long a request may run at an upstream after it was sent. */
-    Duration deadlineMargin = std::chrono::seconds(2);
+    Duration deadlineMargin = longestRequestDeadline;
     /** Period of listing the member records while a take-over waits for them. */
     Duration barrierPoll = std::chrono::milliseconds(250);
     /** Period of listing the member records at the first two members in maintenance order. */
