--- a/tools/bench/src/cluster.h
+++ b/tools/bench/src/cluster.h
@@ -62,6 +62,7 @@
     void killDaemon(std::size_t daemon);
     /** Waits until all daemons are ready to serve. */
     void waitReady(Duration patience);
+    void waitReady(std::size_t daemon, TimePoint deadline) const;
 
     std::string platformAdmin(std::string_view target, const std::string& body = {}) const;
     std::string upstreamAdmin(std::string_view target, const std::string& body = {}) const;
