--- a/libs/daemon/src/control.h
+++ b/libs/daemon/src/control.h
@@ -55,7 +55,7 @@
     void onMessage(const VmId& vm, wire::Message message, const std::function<void(wire::Message)>& reply);
 
     /** Carries out a command of an operator; searches, submits and explain are not commands. */
-    void runCommand(const query::Statement& statement, std::function<void(CommandResult)> callback);
+    void runCommand(const query::Statement& statement, const std::function<void(CommandResult)>& callback);
 
     claims::Claims& claims() { return claims_; }
     MembershipDriver& members() { return members_; }
--- a/libs/daemon/src/control_commands.cpp
+++ b/libs/daemon/src/control_commands.cpp
@@ -74,10 +74,11 @@
 
 } // namespace
 
-void Control::runCommand(const query::Statement& statement, std::function<void(CommandResult)> callback)
+void Control::runCommand(
+    const query::Statement& statement, const std::function<void(CommandResult)>& callback)
 {
     if (const auto edit = query::configEdit(statement))
-        return configuration_.edit(*edit, std::move(callback));
+        return configuration_.edit(*edit, callback);
     if (const auto* releaseZone = std::get_if<query::ReleaseZone>(&statement))
         return callback(release(*releaseZone));
     if (const auto* showStatement = std::get_if<query::Show>(&statement))
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -161,7 +161,7 @@
                 });
             };
             workers_.push_back(std::make_unique<Worker>(
-                index, hello, ownAddress, randomNumber(), HttpLimits {}, metrics, std::move(hooks)));
+                index, hello, ownAddress, randomNumber(), HttpLimits {}, metrics, traces_, std::move(hooks)));
             all.push_back(workers_.back().get());
             services_.push_back(makeService(*workers_.back()));
         }
--- a/libs/daemon/src/query_service.cpp
+++ b/libs/daemon/src/query_service.cpp
@@ -1,13 +1,12 @@
 #include "query_service.h"
 
 #include "answer_json.h"
+#include "hop_spans.h"
 #include "query/parser.h"
 #include "telemetry/log.h"
 
 #include <nlohmann/json.hpp>
 
-#include <chrono>
-
 namespace banyancroft::daemon {
 
 namespace {
@@ -20,13 +19,6 @@
 // Statements in logs and explain records are cut here, so that one caller cannot fill them.
 constexpr std::size_t shownStatementBytes = 512;
 
-std::uint64_t unixNanos()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::nanoseconds>(sinceEpoch).count());
-}
-
 unsigned httpStatus(Outcome outcome)
 {
     switch (outcome) {
@@ -75,6 +67,12 @@
     return difference == 0;
 }
 
+bool isTooLong(std::string_view statement)
+{
+    const bool loadsConfig = statement.substr(0, statement.find_first_of(" \t\n")) == "load";
+    return statement.size() > (loadsConfig ? query::maxLoadConfigBytes : query::maxStatementBytes);
+}
+
 HttpResponse plain(unsigned status, std::string body)
 {
     return { status, "text/plain; charset=utf-8", std::move(body) };
@@ -166,7 +164,7 @@
     auto statement = query::parseStatement(request.body, reason);
     if (!statement) {
         metrics_.rejectedStatements.add();
-        const unsigned status = request.body.size() > query::maxLoadConfigBytes ? 413 : 400;
+        const unsigned status = isTooLong(request.body) ? 413 : 400;
         return finish(call, status, errorJson(reason, call->trace.traceId), true);
     }
     if (query::isOperatorCommand(*statement) && !authorized(request)) {
@@ -286,7 +284,8 @@
     span.endUnixNanos = unixNanos();
     span.attributes.push_back({ "http.status_code", std::to_string(status) });
     span.failed = failed;
-    traces_.addSpan(std::move(span));
+    if (call->trace.sampled)
+        traces_.addSpan(std::move(span));
     if (telemetry::logEnabled(LogLevel::Debug))
         log(LogLevel::Debug, "query", "answered",
             { { "trace", call->trace.traceId }, { "status", std::to_string(status) },
--- a/libs/daemon/src/worker.cpp
+++ b/libs/daemon/src/worker.cpp
@@ -1,5 +1,7 @@
 #include "worker.h"
 
+#include "hop_spans.h"
+
 #include <boost/asio/post.hpp>
 
 #include <xxhash.h>
@@ -23,11 +25,13 @@
 } // namespace
 
 Worker::Worker(std::size_t index, const wire::Hello& hello, std::string ownAddress, std::uint64_t seed,
-    HttpLimits limits, EntryMetrics metrics, Hooks hooks)
+    HttpLimits limits, EntryMetrics metrics, telemetry::TraceRing& traces, Hooks hooks)
     : workGuard_(boost::asio::make_work_guard(ioContext_))
     , index_(index)
     , ownAddress_(std::move(ownAddress))
     , hooks_(std::move(hooks))
+    , traces_(traces)
+    , random_(~seed)
     , home_(ioContext_)
     , network_(ioContext_, hello,
           { [this](const std::string& address, wire::Message message) {
@@ -103,12 +107,27 @@
         ->start();
 }
 
+Worker::Reply Worker::traced(const std::string& traceparent, std::string_view name, const Reply& reply)
+{
+    const auto parent = telemetry::parseTraceparent(traceparent);
+    if (!parent || !parent->sampled)
+        return reply;
+    return [this, traceparent, name, reply](wire::SubreplyBatch batch) {
+        recordHopSpans(traces_, traceparent, name, batch, [this] { return random_(); });
+        reply(std::move(batch));
+    };
+}
+
 void Worker::dispatchMessage(wire::Message message, home::Home::Origin origin, const Reply& reply)
 {
-    if (auto* batch = std::get_if<wire::SubrequestBatch>(&message))
-        return dispatch(std::move(*batch), origin, reply);
-    if (auto* request = std::get_if<wire::SubmitRequest>(&message))
-        return dispatch(std::move(*request), origin, reply);
+    if (auto* batch = std::get_if<wire::SubrequestBatch>(&message)) {
+        const auto handler = traced(batch->traceparent, "home.search", reply);
+        return dispatch(std::move(*batch), origin, handler);
+    }
+    if (auto* request = std::get_if<wire::SubmitRequest>(&message)) {
+        const auto handler = traced(request->traceparent, "home.submit", reply);
+        return dispatch(std::move(*request), origin, handler);
+    }
     if (auto* cancel = std::get_if<wire::Cancel>(&message))
         dispatch(*cancel, origin);
 }
--- a/libs/daemon/src/worker.h
+++ b/libs/daemon/src/worker.h
@@ -4,12 +4,14 @@
 #include "home/home.h"
 #include "http_server.h"
 #include "peer_network.h"
+#include "telemetry/trace.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <span>
 #include <string>
 #include <thread>
@@ -34,7 +36,7 @@
     };
 
     Worker(std::size_t index, const wire::Hello& hello, std::string ownAddress, std::uint64_t seed,
-        HttpLimits limits, EntryMetrics metrics, Hooks hooks);
+        HttpLimits limits, EntryMetrics metrics, telemetry::TraceRing& traces, Hooks hooks);
     ~Worker();
 
     /** All workers of the daemon, this one included, in the order of their index; set before start(). */
@@ -67,6 +69,9 @@
     void dispatch(const wire::Cancel& cancel, home::Home::Origin origin);
     /** Hands a message for the own home to the workers that own its upstreams. */
     void dispatchMessage(wire::Message message, home::Home::Origin origin, const Reply& reply);
+    /** Wraps a reply handler so that the home's spans are recorded; returns it as it is for a trace not
+     * sampled. */
+    Reply traced(const std::string& traceparent, std::string_view name, const Reply& reply);
     /** Wraps a reply handler so that it runs on this thread when the home is another worker's. */
     Reply replyHere(Worker& owner, const Reply& reply);
 
@@ -75,6 +80,8 @@
     const std::size_t index_;
     const std::string ownAddress_;
     Hooks hooks_;
+    telemetry::TraceRing& traces_;
+    std::mt19937_64 random_;
     std::vector<Worker*> workers_;
     home::Home home_;
     PeerNetwork network_;
--- /dev/null
+++ b/libs/daemon/tests/test_settings.cpp
@@ -0,0 +1,59 @@
+#include "daemon/settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace banyancroft;
+using namespace banyancroft::daemon;
+
+namespace {
+
+RawSettings good()
+{
+    RawSettings raw;
+    raw.vm = "vm-1";
+    raw.zone = "z1";
+    raw.store = "127.0.0.1:2379";
+    return raw;
+}
+
+std::string refusal(const RawSettings& raw)
+{
+    Error reason;
+    BOOST_TEST(!checkSettings(raw, reason).has_value());
+    BOOST_TEST(!reason.remedy.empty());
+    return reason.message;
+}
+
+} // namespace
+
+// A daemon that starts with a wrong setting fails later and further away from its cause.
+BOOST_AUTO_TEST_CASE(WrongSettingsNameFlagAndValue)
+{
+    Error reason;
+    BOOST_TEST(checkSettings(good(), reason).has_value());
+    auto raw = good();
+    raw.vm = "vm 1";
+    BOOST_TEST(refusal(raw) == "--vm: \"vm 1\" is not allowed");
+    raw = good();
+    raw.store = "example.org:2379";
+    BOOST_TEST(refusal(raw) == "--store: \"example.org:2379\" is not allowed");
+    raw = good();
+    raw.lease = "10";
+    BOOST_TEST(refusal(raw) == "--lease: \"10\" is not allowed");
+    raw = good();
+    raw.trafficThreads = "0";
+    BOOST_TEST(refusal(raw) == "--traffic-threads: \"0\" is not allowed");
+    raw = good();
+    raw.seeds = "127.0.0.1:1,nonsense";
+    BOOST_TEST(refusal(raw) == "--seeds: \"nonsense\" is not allowed");
+}
+
+// An overflowing or negative duration would become a lease that never lapses.
+BOOST_AUTO_TEST_CASE(DurationsAreBounded)
+{
+    BOOST_TEST((parseDuration("150ms") == std::chrono::milliseconds(150)));
+    BOOST_TEST(!parseDuration("-1s").has_value());
+    BOOST_TEST(!parseDuration("99999999999999999999s").has_value());
+    BOOST_TEST(!parseDuration("9000000000m").has_value());
+    BOOST_TEST(!parseDuration("1h").has_value());
+}
--- a/libs/search/include/search/types.h
+++ b/libs/search/include/search/types.h
@@ -28,7 +28,8 @@
     /** Zero while no upstream has named a version yet. */
     IndexVersion index;
 
-    auto operator<=>(const Snapshot&) const = default;
+    // clang-tidy 14 misreads the defaulted comparison.
+    auto operator<=>(const Snapshot&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /** Hands out the sequence numbers of one entry, rising, never twice. */
--- a/libs/telemetry/include/telemetry/trace.h
+++ b/libs/telemetry/include/telemetry/trace.h
@@ -17,8 +17,10 @@
     std::string traceId;
     /** 16 lower-case hexadecimal digits, not all zero. */
     std::string spanId;
+    /** False: daemons pass the trace on and keep no spans of it. */
+    bool sampled = true;
 
-    /** The header value, version 00, sampled. */
+    /** The header value, version 00. */
     std::string traceparent() const;
 };
 
@@ -26,7 +28,8 @@
 std::optional<TraceContext> parseTraceparent(std::string_view header);
 
 /**
- * Starts a span below the given header, or a new trace when the header is empty or malformed.
+ * Starts a span below the given header, or a new trace when the header is empty or malformed. A trace that
+ * starts here is sampled once in 64; a caller who wants the spans of a query sends a sampled header.
  * @param random source of 64 random bits
  */
 TraceContext startSpan(std::string_view traceparent, const std::function<std::uint64_t()>& random);
--- a/libs/telemetry/src/trace.cpp
+++ b/libs/telemetry/src/trace.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::size_t traceIdDigits = 32;
 constexpr std::size_t spanIdDigits = 16;
+// Share of the traces begun here that are sampled: a query makes a span per sub-request, and at the planned
+// size 51,250 of them a second pass through a daemon.
+constexpr std::uint64_t sampleOneIn = 64;
 // A trace with more spans than this is cut, so that one caller cannot fill the memory.
 constexpr std::size_t maxSpansPerTrace = 2048;
 
@@ -34,7 +37,10 @@
 
 } // namespace
 
-std::string TraceContext::traceparent() const { return "00-" + traceId + "-" + spanId + "-01"; }
+std::string TraceContext::traceparent() const
+{
+    return "00-" + traceId + "-" + spanId + (sampled ? "-01" : "-00");
+}
 
 std::optional<TraceContext> parseTraceparent(std::string_view header)
 {
@@ -52,7 +58,10 @@
     const std::string_view spanId = header.substr(36, spanIdDigits);
     if (!isId(traceId, traceIdDigits) || !isId(spanId, spanIdDigits))
         return std::nullopt;
-    return TraceContext { std::string(traceId), std::string(spanId) };
+    constexpr unsigned sampledFlag = 1;
+    const char lastDigit = header[54];
+    const unsigned flags = static_cast<unsigned>(lastDigit <= '9' ? lastDigit - '0' : lastDigit - 'a' + 10);
+    return TraceContext { std::string(traceId), std::string(spanId), (flags & sampledFlag) != 0 };
 }
 
 TraceContext startSpan(std::string_view traceparent, const std::function<std::uint64_t()>& random)
@@ -60,9 +69,11 @@
     TraceContext context;
     if (auto parent = parseTraceparent(traceparent)) {
         context.traceId = parent->traceId;
+        context.sampled = parent->sampled;
     } else {
         appendHex(random() | 1, context.traceId);
         appendHex(random(), context.traceId);
+        context.sampled = random() % sampleOneIn == 0;
     }
     appendHex(random() | 1, context.spanId);
     return context;
--- a/libs/telemetry/tests/test_telemetry.cpp
+++ b/libs/telemetry/tests/test_telemetry.cpp
@@ -29,6 +29,17 @@
     BOOST_TEST(parseTraceparent(startSpan("junk", random).traceparent()).has_value());
 }
 
+// Spans of traces that nobody sampled would cost processor time for each sub-request.
+BOOST_AUTO_TEST_CASE(SampledFlagIsPassedOn)
+{
+    const std::string prefix = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-";
+    const auto random = [] { return std::uint64_t { 5 }; };
+    BOOST_TEST(startSpan(prefix + "01", random).sampled);
+    BOOST_TEST(!startSpan(prefix + "00", random).sampled);
+    BOOST_TEST(startSpan(prefix + "00", random).traceparent().ends_with("-00"));
+    BOOST_TEST(!startSpan("", random).sampled);
+}
+
 // Without a limit, the ring would grow with each request.
 BOOST_AUTO_TEST_CASE(RingDropsTheOldestTrace)
 {
