Leave reading the store to the watchers

Cause: each daemon read the whole document every 10 s; with 4,200 replicas it has 450 KB, so that alone took 45 KB/s of the 17 KB/s that control may use. Change: only watchers, and daemons that hear from none, read the store, every 60 s.

--- a/libs/daemon/src/control.cpp
+++ b/libs/daemon/src/control.cpp
@@ -16,8 +16,13 @@
 constexpr std::chrono::seconds vmListPeriod { 2 };
 // A member that hears from no watcher for this many heartbeats asks a peer by itself.
 constexpr int silentHeartbeats = 4;
-// Safety net should both watchers of a zone hang: 560 daemons make 56 reads a second of it.
-constexpr std::chrono::seconds slowReadPeriod { 10 };
+// Safety net should a watch hang without an error. At the planned size the document has 450 KB, so a shorter
+// period would exceed the 17 KB/s that control may use.
+constexpr std::chrono::seconds slowReadPeriod { 60 };
+// Until a configuration is known.
+constexpr std::chrono::seconds firstReadPeriod { 2 };
+// A daemon that hears from its zone's watchers leaves the reading of the store to them.
+constexpr std::chrono::seconds digestPatience { 10 };
 // A join takes one promise and one longest deadline, 4 s by default.
 constexpr Duration settlePatience = std::chrono::seconds(10);
 constexpr Duration storeDeadline = std::chrono::seconds(1);
@@ -205,12 +210,23 @@
         if (*alive && listing)
             onStoreValues(listing->entries);
     });
+    scheduleRead();
+}
+
+void Control::scheduleRead()
+{
     std::uniform_real_distribution<double> jitter(0.8, 1.2);
-    const auto delay = std::chrono::duration_cast<Duration>(slowReadPeriod * jitter(random_));
+    const Duration period = document_ ? Duration(slowReadPeriod) : Duration(firstReadPeriod);
+    const auto delay = std::chrono::duration_cast<Duration>(period * jitter(random_));
     auto timer = std::make_shared<boost::asio::steady_timer>(ioContext_, delay);
     timer->async_wait([this, alive = alive_, timer](const boost::system::error_code& code) {
-        if (!code && *alive)
+        if (code || !*alive)
+            return;
+        const bool hearsWatchers = BootClock::now() - lastDigest_ < digestPatience;
+        if (members_.membership().watcher() || !hearsWatchers)
             readStore();
+        else
+            scheduleRead();
     });
 }
 
--- a/libs/daemon/src/control.h
+++ b/libs/daemon/src/control.h
@@ -76,6 +76,7 @@
     void heartbeat();
 
     void readStore();
+    void scheduleRead();
     void watchStore();
     void watchPrefix(const std::string& prefix);
     void onStoreValues(std::span<const platform::KeyValue> values);
