--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -105,8 +105,6 @@
 struct Digest {
     ConfigVersion configVersion;
     std::vector<ZoneView> views;
-    /** True while the sender stops: it accepts no new work. */
-    bool stopping = false;
 };
 
 struct StateRequest {
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -153,7 +153,7 @@
 BANYANCROFT_WIRE_FIELDS(SubmitRequest, &Self::query, &Self::sequence, &Self::remainingMicros,
     &Self::traceparent, &Self::upstream, &Self::operation, &Self::key, &Self::payload)
 BANYANCROFT_WIRE_FIELDS(ZoneView, &Self::zone, &Self::view)
-BANYANCROFT_WIRE_FIELDS(Digest, &Self::configVersion, &Self::views, &Self::stopping)
+BANYANCROFT_WIRE_FIELDS(Digest, &Self::configVersion, &Self::views)
 BANYANCROFT_WIRE_FIELDS(StateRequest, &Self::haveConfig, &Self::haveViews)
 BANYANCROFT_WIRE_FIELDS(EncodedView, &Self::zone, &Self::view, &Self::text)
 BANYANCROFT_WIRE_FIELDS(StateReply, &Self::config, &Self::views)
