Survive a peer that resets its connection at once

Cause: asking an accepted socket for its address throws when the peer has reset the connection meanwhile, which would have ended the daemon. Change: the error is taken as a value and the connection dropped.

--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -232,7 +232,11 @@
     // Reads the Hello of a peer, then keeps a control connection or hands a traffic connection to a worker.
     void greet(Tcp::socket socket)
     {
-        const bool isV6 = socket.local_endpoint().address().is_v6();
+        boost::system::error_code code;
+        const bool isV6 = socket.local_endpoint(code).address().is_v6();
+        // The peer may have reset the connection already.
+        if (code)
+            return;
         auto vm = std::make_shared<std::optional<VmId>>();
         PeerConnection::Hooks hooks;
         hooks.onMessage
