Share one delayed call between claims and configuration

Cause: read-through; the same timer lambda stood twice, and two members and two getters had no reader. Change: run_after.h; the unused parts are gone.

--- a/libs/daemon/src/configuration_driver.cpp
+++ b/libs/daemon/src/configuration_driver.cpp
@@ -1,6 +1,7 @@
 #include "configuration_driver.h"
 
 #include "config/document_json.h"
+#include "run_after.h"
 #include "telemetry/log.h"
 
 #include <nlohmann/json.hpp>
@@ -19,11 +20,7 @@
 {
     configstore::ConfigurationEditor::Options options;
     options.after = [&ioContext](Duration delay, std::function<void()> function) {
-        auto timer = std::make_shared<boost::asio::steady_timer>(ioContext, delay);
-        timer->async_wait([timer, function = std::move(function)](const boost::system::error_code& code) {
-            if (!code)
-                function();
-        });
+        runAfter(ioContext, delay, std::move(function));
     };
     return options;
 }
@@ -32,9 +29,7 @@
 
 ConfigurationDriver::ConfigurationDriver(platform::Store& store, boost::asio::io_context& ioContext,
     std::function<void(std::shared_ptr<const config::Document>)> onDocument)
-    : store_(store)
-    , ioContext_(ioContext)
-    , editor_(store, editorOptions(ioContext))
+    : editor_(store, editorOptions(ioContext))
     , onDocument_(std::move(onDocument))
     , forwardTimer_(ioContext)
 {
--- a/libs/daemon/src/configuration_driver.h
+++ b/libs/daemon/src/configuration_driver.h
@@ -44,8 +44,6 @@
     void offer(std::string_view text, config::Source source);
     void bringForwardLater();
 
-    platform::Store& store_;
-    boost::asio::io_context& ioContext_;
     configstore::ConfigurationEditor editor_;
     config::ConfigurationRegistry registry_;
     std::function<void(std::shared_ptr<const config::Document>)> onDocument_;
--- a/libs/daemon/src/control.cpp
+++ b/libs/daemon/src/control.cpp
@@ -1,5 +1,6 @@
 #include "control.h"
 
+#include "run_after.h"
 #include "telemetry/log.h"
 
 #include <algorithm>
@@ -57,11 +58,7 @@
 {
     return { [] { return BootClock::now(); },
         [&ioContext](Duration delay, std::function<void()> function) {
-            auto timer = std::make_shared<boost::asio::steady_timer>(ioContext, delay);
-            timer->async_wait([timer, function = std::move(function)](const boost::system::error_code& code) {
-                if (!code)
-                    function();
-            });
+            runAfter(ioContext, delay, std::move(function));
         },
         [&random] { return random(); } };
 }
--- a/libs/daemon/src/peer_network.h
+++ b/libs/daemon/src/peer_network.h
@@ -39,7 +39,6 @@
     /** Sends to the daemon at `address` (IP:port). Failures come through onDisconnected. */
     void send(const std::string& address, wire::Message message);
     void close();
-    std::size_t size() const { return peers_.size(); }
 
 private:
     struct Peer {
--- a/libs/daemon/src/worker.h
+++ b/libs/daemon/src/worker.h
@@ -48,7 +48,6 @@
 
     /** Runs a function on this thread. Thread-safe. */
     void post(std::function<void()> function);
-    boost::asio::io_context& ioContext() { return ioContext_; }
 
     std::size_t index() const { return index_; }
     Entry& entry() { return entry_; }
