Keep a delayed result of the fake store's test alive

Cause: AddressSanitizer found that the callback of a delayed swap wrote to a local variable of a function that had returned. Only the test was wrong.

--- a/libs/platform/tests/test_fake_store.cpp
+++ b/libs/platform/tests/test_fake_store.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
+
 using namespace banyancroft;
 using namespace banyancroft::platform;
 using namespace std::chrono_literals;
@@ -12,13 +14,14 @@
     /** Runs a swap and returns what its callback got. */
     std::optional<SwapResult> swap(const std::string& key, Revision expected, LeaseId lease = {})
     {
-        std::optional<SwapResult> result;
-        store.compareAndSwap({ key, expected, "x", lease }, [&](auto value, const Error& failure) {
-            result = value;
+        // A delayed callback runs after this call has returned.
+        const auto result = std::make_shared<std::optional<SwapResult>>();
+        store.compareAndSwap({ key, expected, "x", lease }, [this, result](auto value, const Error& failure) {
+            *result = value;
             reason = failure;
         });
         store.run(now);
-        return result;
+        return *result;
     }
 
     FakeStore store;
