Use the shared delayed call and the claim's own kinds

Cause: read-through; two timers repeated runAfter, and ClaimReply::Kind was a copy of ClaimAnswer::Kind that a cast joined without a check. Change: both call runAfter; the reply uses the claim's enumeration.

--- a/libs/daemon/src/control.cpp
+++ b/libs/daemon/src/control.cpp
@@ -215,9 +215,8 @@
     std::uniform_real_distribution<double> jitter(0.8, 1.2);
     const Duration period = document_ ? Duration(slowReadPeriod) : Duration(firstReadPeriod);
     const auto delay = std::chrono::duration_cast<Duration>(period * jitter(random_));
-    auto timer = std::make_shared<boost::asio::steady_timer>(ioContext_, delay);
-    timer->async_wait([this, alive = alive_, timer](const boost::system::error_code& code) {
-        if (code || !*alive)
+    runAfter(ioContext_, delay, [this, alive = alive_] {
+        if (!*alive)
             return;
         const bool hearsWatchers = BootClock::now() - lastDigest_ < digestPatience;
         if (members_.membership().watcher() || !hearsWatchers)
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -289,7 +289,7 @@
     ClaimReply toReply(Worker& worker, claims::ClaimAnswer answer)
     {
         ClaimReply reply;
-        reply.kind = static_cast<ClaimReply::Kind>(answer.kind);
+        reply.kind = answer.kind;
         reply.reason = answer.reason;
         reply.result = std::move(answer.result);
         if (!answer.held)
--- a/libs/daemon/src/entry.cpp
+++ b/libs/daemon/src/entry.cpp
@@ -1,6 +1,6 @@
 #include "entry.h"
 
-#include "claims/claims.h"
+#include "run_after.h"
 
 #include <boost/asio/post.hpp>
 
@@ -383,15 +383,13 @@
         && active.tried.size() < maxSubmitAttempts && now + submitRetryDelay < active.call.deadline;
     if (!retry)
         return settleSubmit(active, item.outcome, item.reason, std::move(item.rows));
-    auto delay = std::make_shared<boost::asio::steady_timer>(ioContext_, submitRetryDelay);
-    delay->async_wait(
-        [this, alive = alive_, query = active.query, delay](const boost::system::error_code& code) {
-            if (code || !*alive)
-                return;
-            auto position = submits_.find(query);
-            if (position != submits_.end())
-                routeSubmit(*position->second);
-        });
+    runAfter(ioContext_, submitRetryDelay, [this, alive = alive_, query = active.query] {
+        if (!*alive)
+            return;
+        auto position = submits_.find(query);
+        if (position != submits_.end())
+            routeSubmit(*position->second);
+    });
 }
 
 void Entry::armSubmitTimer(ActiveSubmit& active, TimePoint when)
--- a/libs/daemon/src/entry.h
+++ b/libs/daemon/src/entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claims/claims.h"
 #include "routing_table.h"
 #include "search/cluster_state.h"
 #include "search/policy_state.h"
@@ -42,7 +43,7 @@
 
 /** Answer to a claim, as far as the entry needs it. */
 struct ClaimReply {
-    enum class Kind : std::uint8_t { Held, AlreadyDone, Unknown, Mismatch, Refused };
+    using Kind = claims::ClaimAnswer::Kind;
     Kind kind = Kind::Refused;
     Reason reason = Reason::None;
     std::string result;
