Rename the store interface library from platform to store

Cause: a folder platform/ at the top is to hold the adapter to the users' platform, and one name has to mean one thing.

--- a/libs/claims/include/claims/claims.h
+++ b/libs/claims/include/claims/claims.h
@@ -4,7 +4,7 @@
 #include "base/ids.h"
 #include "base/outcome.h"
 #include "base/time.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <cstdint>
 #include <functional>
@@ -52,7 +52,7 @@
 struct HeldClaim {
     std::string storeKey;
     ClaimRecord record;
-    platform::Revision revision;
+    store::Revision revision;
 };
 
 struct ClaimAnswer {
@@ -98,7 +98,7 @@
         std::function<std::uint64_t()> random;
     };
 
-    Claims(platform::Store& store, std::string keyPrefix, Hooks hooks);
+    Claims(store::Store& store, std::string keyPrefix, Hooks hooks);
     ~Claims();
 
     /**
--- a/libs/claims/src/claims.cpp
+++ b/libs/claims/src/claims.cpp
@@ -40,7 +40,7 @@
 
 class Claims::Impl : public std::enable_shared_from_this<Claims::Impl> {
 public:
-    Impl(platform::Store& store, std::string keyPrefix, Hooks hooks)
+    Impl(store::Store& store, std::string keyPrefix, Hooks hooks)
         : store_(store)
         , keyPrefix_(std::move(keyPrefix))
         , hooks_(std::move(hooks))
@@ -92,10 +92,10 @@
     using RecordingPointer = std::shared_ptr<Recording>;
 
     // Writes the wanted record over the key at the expected revision (zero: the key must not exist).
-    void write(const AttemptPointer& attempt, platform::Revision expected)
+    void write(const AttemptPointer& attempt, store::Revision expected)
     {
         store_.compareAndSwap({ attempt->storeKey, expected, toJson(attempt->wanted), {} },
-            [self = shared_from_this(), attempt](std::optional<platform::SwapResult> result, const Error&) {
+            [self = shared_from_this(), attempt](std::optional<store::SwapResult> result, const Error&) {
                 if (!result)
                     return self->readBack(attempt);
                 if (result->swapped)
@@ -109,7 +109,7 @@
     void readBack(const AttemptPointer& attempt)
     {
         store_.get(attempt->storeKey,
-            [self = shared_from_this(), attempt](std::optional<platform::Listing> listing, const Error&) {
+            [self = shared_from_this(), attempt](std::optional<store::Listing> listing, const Error&) {
                 // An absent key does not prove that the write failed: it may still be on its way.
                 if (!listing || listing->entries.empty())
                     return self->giveUp(attempt);
@@ -117,7 +117,7 @@
             });
     }
 
-    void decide(const AttemptPointer& attempt, const platform::KeyValue& found)
+    void decide(const AttemptPointer& attempt, const store::KeyValue& found)
     {
         Error reason;
         auto record = parseClaimRecord(found.value, reason);
@@ -141,7 +141,7 @@
         }
     }
 
-    void hold(const AttemptPointer& attempt, platform::Revision revision)
+    void hold(const AttemptPointer& attempt, store::Revision revision)
     {
         HeldClaim held { attempt->storeKey, attempt->wanted, revision };
         if (hooks_.now() >= attempt->deadline) {
@@ -173,7 +173,7 @@
             if (self->stopped_)
                 return;
             self->store_.get(attempt->storeKey,
-                [self, attempt, attempts](std::optional<platform::Listing> listing, const Error&) {
+                [self, attempt, attempts](std::optional<store::Listing> listing, const Error&) {
                     if (!listing)
                         return self->releaseLater(attempt, attempts + 1);
                     if (listing->entries.empty())
@@ -194,7 +194,7 @@
         store_.compareAndSwap(
             { recording->held.storeKey, recording->held.revision, toJson(recording->final), {} },
             [self = shared_from_this(), recording](
-                const std::optional<platform::SwapResult>& result, const Error&) {
+                const std::optional<store::SwapResult>& result, const Error&) {
                 // The key is written by its holder only, so a swap that found another revision found the
                 // holder's own earlier write whose reply was lost, or a later request that built on it.
                 if (result || self->stopped_ || recording->attempts >= maxRecordAttempts)
@@ -211,14 +211,14 @@
             recording->onRecorded();
     }
 
-    platform::Store& store_;
+    store::Store& store_;
     const std::string keyPrefix_;
     Hooks hooks_;
     std::size_t unrecorded_ = 0;
     bool stopped_ = false;
 };
 
-Claims::Claims(platform::Store& store, std::string keyPrefix, Hooks hooks)
+Claims::Claims(store::Store& store, std::string keyPrefix, Hooks hooks)
     : impl_(std::make_shared<Impl>(store, std::move(keyPrefix), std::move(hooks)))
 {
 }
--- a/libs/claims/tests/claims_world.h
+++ b/libs/claims/tests/claims_world.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "claims/claims.h"
-#include "platform/fake_store.h"
+#include "store/fake_store.h"
 
 #include <map>
 #include <memory>
@@ -22,7 +22,7 @@
             restart(daemon);
     }
 
-    platform::FakeStore& store() { return store_; }
+    store::FakeStore& store() { return store_; }
     TimePoint now() const { return now_; }
 
     /** A new incarnation of a daemon that forgot everything; timers of the old one do nothing. */
@@ -68,7 +68,7 @@
         std::unique_ptr<Claims> claims;
     };
 
-    platform::FakeStore store_;
+    store::FakeStore store_;
     std::vector<Slot> daemons_;
     std::multimap<TimePoint, std::function<void()>> timers_;
     TimePoint now_ { std::chrono::hours(1) };
--- a/libs/claims/tests/test_claims.cpp
+++ b/libs/claims/tests/test_claims.cpp
@@ -15,9 +15,9 @@
 }
 
 /** Passes calls on, but holds the next swap back and reports it as timed out, as a slow network does. */
-class HoldingStore : public platform::Store {
+class HoldingStore : public store::Store {
 public:
-    explicit HoldingStore(platform::FakeStore& store)
+    explicit HoldingStore(store::FakeStore& store)
         : store_(store)
     {
     }
@@ -28,43 +28,43 @@
         store_.compareAndSwap(*held_, [](auto&&...) {});
     }
 
-    void get(std::string_view key, platform::Callback<platform::Listing> callback) override
+    void get(std::string_view key, store::Callback<store::Listing> callback) override
     {
         store_.get(key, std::move(callback));
     }
-    void list(std::string_view prefix, platform::Callback<platform::Listing> callback) override
+    void list(std::string_view prefix, store::Callback<store::Listing> callback) override
     {
         store_.list(prefix, std::move(callback));
     }
-    void compareAndSwap(platform::Swap swap, platform::Callback<platform::SwapResult> callback) override
+    void compareAndSwap(store::Swap swap, store::Callback<store::SwapResult> callback) override
     {
         if (!std::exchange(holdNext_, false))
             return store_.compareAndSwap(std::move(swap), std::move(callback));
         held_ = std::move(swap);
         callback(std::nullopt, { ErrorKind::TimedOut, "no answer", "read back" });
     }
-    void grantLease(Duration duration, platform::Callback<platform::LeaseGrant> callback) override
+    void grantLease(Duration duration, store::Callback<store::LeaseGrant> callback) override
     {
         store_.grantLease(duration, std::move(callback));
     }
-    void renewLease(platform::LeaseId lease, platform::Callback<platform::LeaseGrant> callback) override
+    void renewLease(store::LeaseId lease, store::Callback<store::LeaseGrant> callback) override
     {
         store_.renewLease(lease, std::move(callback));
     }
-    void revokeLease(platform::LeaseId lease, platform::Callback<bool> callback) override
+    void revokeLease(store::LeaseId lease, store::Callback<bool> callback) override
     {
         store_.revokeLease(lease, std::move(callback));
     }
-    void watch(std::string_view prefix, platform::Revision after,
-        std::function<void(std::span<const platform::KeyValue>)> onChange,
+    void watch(std::string_view prefix, store::Revision after,
+        std::function<void(std::span<const store::KeyValue>)> onChange,
         std::function<void(const Error&)> onEnd) override
     {
         store_.watch(prefix, after, std::move(onChange), std::move(onEnd));
     }
 
 private:
-    platform::FakeStore& store_;
-    std::optional<platform::Swap> held_;
+    store::FakeStore& store_;
+    std::optional<store::Swap> held_;
     bool holdNext_ = false;
 };
 
--- a/libs/configstore/include/configstore/editor.h
+++ b/libs/configstore/include/configstore/editor.h
@@ -4,7 +4,7 @@
 #include "base/time.h"
 #include "config/document.h"
 #include "config/edit.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <functional>
 #include <memory>
@@ -53,7 +53,7 @@
     };
     using Callback = std::function<void(const EditResult&)>;
 
-    ConfigurationEditor(platform::Store& store, Options options);
+    ConfigurationEditor(store::Store& store, Options options);
 
     /**
      * Carries out an edit.
@@ -69,7 +69,7 @@
 private:
     class Attempt;
 
-    platform::Store& store_;
+    store::Store& store_;
     Options options_;
 };
 
--- a/libs/configstore/src/editor.cpp
+++ b/libs/configstore/src/editor.cpp
@@ -17,7 +17,7 @@
     /** Tells whether a later document holds what was wanted. */
     using InEffect = std::function<bool(const config::Document&)>;
 
-    Attempt(platform::Store& store, Options options, Wanted wanted, InEffect inEffect, Callback callback)
+    Attempt(store::Store& store, Options options, Wanted wanted, InEffect inEffect, Callback callback)
         : store_(store)
         , options_(std::move(options))
         , wanted_(std::move(wanted))
@@ -30,7 +30,7 @@
     {
         ++calls_;
         store_.get(documentKey,
-            [self = shared_from_this()](std::optional<platform::Listing> listing, const Error& error) {
+            [self = shared_from_this()](std::optional<store::Listing> listing, const Error& error) {
                 if (!listing)
                     return self->readFailed(error);
                 const auto& entries = listing->entries;
@@ -39,7 +39,7 @@
     }
 
 private:
-    void onStored(const platform::KeyValue* stored)
+    void onStored(const store::KeyValue* stored)
     {
         std::optional<config::Document> document;
         if (stored != nullptr) {
@@ -51,7 +51,7 @@
                 return finish({ reason, wantedDocument_ != nullptr, nullptr });
             }
         }
-        const platform::Revision revision = stored == nullptr ? platform::Revision {} : stored->modified;
+        const store::Revision revision = stored == nullptr ? store::Revision {} : stored->modified;
         if (wantedDocument_)
             return judge(document ? &*document : nullptr, revision);
         Error reason;
@@ -67,7 +67,7 @@
     {
         ++calls_;
         store_.compareAndSwap({ std::string(documentKey), expected_, config::toJson(*wantedDocument_), {} },
-            [self = shared_from_this()](std::optional<platform::SwapResult> result, const Error& error) {
+            [self = shared_from_this()](std::optional<store::SwapResult> result, const Error& error) {
                 if (!result)
                     return self->swapFailed(error);
                 if (result->swapped)
@@ -102,7 +102,7 @@
     }
 
     // Decides by version and content whether the swap took effect.
-    void judge(const config::Document* stored, platform::Revision revision)
+    void judge(const config::Document* stored, store::Revision revision)
     {
         if (stored != nullptr && (*stored == *wantedDocument_ || inEffectLater(*stored))) {
             return finish({ {}, false, std::make_shared<const config::Document>(*stored) });
@@ -131,17 +131,17 @@
             callback(result);
     }
 
-    platform::Store& store_;
+    store::Store& store_;
     Options options_;
     Wanted wanted_;
     InEffect inEffect_;
     Callback callback_;
     std::shared_ptr<const config::Document> wantedDocument_;
-    platform::Revision expected_;
+    store::Revision expected_;
     unsigned calls_ = 0;
 };
 
-ConfigurationEditor::ConfigurationEditor(platform::Store& store, Options options)
+ConfigurationEditor::ConfigurationEditor(store::Store& store, Options options)
     : store_(store)
     , options_(std::move(options))
 {
--- a/libs/configstore/tests/test_editor.cpp
+++ b/libs/configstore/tests/test_editor.cpp
@@ -10,29 +10,29 @@
 
 using namespace banyancroft;
 using namespace banyancroft::configstore;
-using platform::Callback;
+using store::Callback;
 
 namespace {
 
 // Holds one key. Each call takes the next fault of the list; callbacks run in run().
-class OneKeyStore : public platform::Store {
+class OneKeyStore : public store::Store {
 public:
     enum class Fault { None, Down, ReplyLost, RequestDelayed };
 
-    void get(std::string_view /*unused*/, Callback<platform::Listing> callback) override
+    void get(std::string_view /*unused*/, Callback<store::Listing> callback) override
     {
         const Fault fault = nextFault();
         steps_.push_back([this, fault, callback] {
             if (fault == Fault::Down)
                 return callback(std::nullopt, { ErrorKind::Unavailable, "down", "" });
-            platform::Listing listing;
+            store::Listing listing;
             if (current)
                 listing.entries.push_back(*current);
             callback(listing, {});
         });
     }
 
-    void compareAndSwap(platform::Swap swap, Callback<platform::SwapResult> callback) override
+    void compareAndSwap(store::Swap swap, Callback<store::SwapResult> callback) override
     {
         const Fault fault = nextFault();
         steps_.push_back([this, fault, swap, callback] {
@@ -51,23 +51,23 @@
                     std::exchange(afterLostReply, nullptr)();
                 return callback(std::nullopt, lost);
             }
-            callback(platform::SwapResult { swapped, { revision }, current }, {});
+            callback(store::SwapResult { swapped, { revision }, current }, {});
         });
     }
 
-    void list(std::string_view /*unused*/, Callback<platform::Listing> /*unused*/) override { }
-    void grantLease(Duration /*unused*/, Callback<platform::LeaseGrant> /*unused*/) override { }
-    void renewLease(platform::LeaseId /*unused*/, Callback<platform::LeaseGrant> /*unused*/) override { }
-    void revokeLease(platform::LeaseId /*unused*/, Callback<bool> /*unused*/) override { }
-    void watch(std::string_view /*unused*/, platform::Revision /*unused*/,
-        std::function<void(std::span<const platform::KeyValue>)> /*unused*/,
+    void list(std::string_view /*unused*/, Callback<store::Listing> /*unused*/) override { }
+    void grantLease(Duration /*unused*/, Callback<store::LeaseGrant> /*unused*/) override { }
+    void renewLease(store::LeaseId /*unused*/, Callback<store::LeaseGrant> /*unused*/) override { }
+    void revokeLease(store::LeaseId /*unused*/, Callback<bool> /*unused*/) override { }
+    void watch(std::string_view /*unused*/, store::Revision /*unused*/,
+        std::function<void(std::span<const store::KeyValue>)> /*unused*/,
         std::function<void(const Error&)> /*unused*/) override
     {
     }
 
-    bool effect(const platform::Swap& swap)
+    bool effect(const store::Swap& swap)
     {
-        if (swap.expected != (current ? current->modified : platform::Revision {}))
+        if (swap.expected != (current ? current->modified : store::Revision {}))
             return false;
         put(*swap.value);
         return true;
@@ -84,7 +84,7 @@
             std::function<void()>(steps_.front())();
     }
 
-    std::optional<platform::KeyValue> current;
+    std::optional<store::KeyValue> current;
     std::uint64_t revision = 100;
     std::deque<Fault> faults;
     std::function<void()> beforeSwap;
--- a/libs/daemon/src/configuration_driver.cpp
+++ b/libs/daemon/src/configuration_driver.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-ConfigurationDriver::ConfigurationDriver(platform::Store& store, boost::asio::io_context& ioContext,
+ConfigurationDriver::ConfigurationDriver(store::Store& store, boost::asio::io_context& ioContext,
     std::function<void(std::shared_ptr<const config::Document>)> onDocument)
     : editor_(store, editorOptions(ioContext))
     , onDocument_(std::move(onDocument))
@@ -37,7 +37,7 @@
 
 ConfigurationDriver::~ConfigurationDriver() { *alive_ = false; }
 
-void ConfigurationDriver::onStoreValue(const platform::KeyValue& value)
+void ConfigurationDriver::onStoreValue(const store::KeyValue& value)
 {
     if (!value.modified)
         return onStoreEmpty();
--- a/libs/daemon/src/configuration_driver.h
+++ b/libs/daemon/src/configuration_driver.h
@@ -5,7 +5,7 @@
 #include "config/edit.h"
 #include "config/registry.h"
 #include "configstore/editor.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -25,12 +25,12 @@
 class ConfigurationDriver {
 public:
     /** @param onDocument a newer document is in force */
-    ConfigurationDriver(platform::Store& store, boost::asio::io_context& ioContext,
+    ConfigurationDriver(store::Store& store, boost::asio::io_context& ioContext,
         std::function<void(std::shared_ptr<const config::Document>)> onDocument);
     ~ConfigurationDriver();
 
     /** Handles the value of the configuration's key that a watch or a read showed. */
-    void onStoreValue(const platform::KeyValue& value);
+    void onStoreValue(const store::KeyValue& value);
     /** The store answered that it has no configuration. */
     void onStoreEmpty();
     /** Takes a document that a peer sent. */
--- a/libs/daemon/src/control.cpp
+++ b/libs/daemon/src/control.cpp
@@ -28,9 +28,9 @@
 constexpr Duration settlePatience = std::chrono::seconds(10);
 constexpr Duration storeDeadline = std::chrono::seconds(1);
 
-platform::EtcdStore::Options storeOptions(const Settings& settings)
+store::EtcdStore::Options storeOptions(const Settings& settings)
 {
-    platform::EtcdStore::Options options;
+    store::EtcdStore::Options options;
     const auto endpoint = parseEndpoint(settings.store);
     options.address = endpoint->address().to_string();
     options.port = endpoint->port();
@@ -195,7 +195,7 @@
 void Control::readStore()
 {
     store_.get(configstore::documentKey,
-        [this, alive = alive_](std::optional<platform::Listing> listing, const Error&) {
+        [this, alive = alive_](std::optional<store::Listing> listing, const Error&) {
             if (!*alive || !listing)
                 return;
             if (listing->entries.empty())
@@ -203,7 +203,7 @@
             onStoreValues(listing->entries);
         });
     // The members' records lie below the same prefix; they are few and this is read seldom.
-    store_.list(zonePrefix, [this, alive = alive_](std::optional<platform::Listing> listing, const Error&) {
+    store_.list(zonePrefix, [this, alive = alive_](std::optional<store::Listing> listing, const Error&) {
         if (*alive && listing)
             onStoreValues(listing->entries);
     });
@@ -238,31 +238,30 @@
     if (!watched_.insert(prefix).second)
         return;
     // Listing first gives the revision after which the watch has to begin.
-    store_.list(
-        prefix, [this, alive = alive_, prefix](std::optional<platform::Listing> listing, const Error&) {
+    store_.list(prefix, [this, alive = alive_, prefix](std::optional<store::Listing> listing, const Error&) {
+        if (!*alive)
+            return;
+        if (!listing) {
+            watched_.erase(prefix);
+            return;
+        }
+        onStoreValues(listing->entries);
+        const auto onChange = [this, alive](std::span<const store::KeyValue> values) {
+            if (*alive)
+                onStoreValues(values);
+        };
+        const auto onEnd = [this, alive, prefix](const Error& reason) {
             if (!*alive)
                 return;
-            if (!listing) {
-                watched_.erase(prefix);
-                return;
-            }
-            onStoreValues(listing->entries);
-            const auto onChange = [this, alive](std::span<const platform::KeyValue> values) {
-                if (*alive)
-                    onStoreValues(values);
-            };
-            const auto onEnd = [this, alive, prefix](const Error& reason) {
-                if (!*alive)
-                    return;
-                log(LogLevel::Warn, "control", "watch of the store ended",
-                    { { "prefix", prefix }, { "reason", toString(reason) } });
-                watched_.erase(prefix);
-            };
-            store_.watch(prefix, listing->revision, onChange, onEnd);
-        });
+            log(LogLevel::Warn, "control", "watch of the store ended",
+                { { "prefix", prefix }, { "reason", toString(reason) } });
+            watched_.erase(prefix);
+        };
+        store_.watch(prefix, listing->revision, onChange, onEnd);
+    });
 }
 
-void Control::onStoreValues(std::span<const platform::KeyValue> values)
+void Control::onStoreValues(std::span<const store::KeyValue> values)
 {
     for (const auto& value : values) {
         if (value.key == configstore::documentKey)
--- a/libs/daemon/src/control.h
+++ b/libs/daemon/src/control.h
@@ -6,9 +6,9 @@
 #include "daemon/settings.h"
 #include "membership_driver.h"
 #include "peer_network.h"
-#include "platform/etcd_store.h"
 #include "query/statement.h"
 #include "routing_table.h"
+#include "store/etcd_store.h"
 #include "telemetry/metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -79,7 +79,7 @@
     void scheduleRead();
     void watchStore();
     void watchPrefix(const std::string& prefix);
-    void onStoreValues(std::span<const platform::KeyValue> values);
+    void onStoreValues(std::span<const store::KeyValue> values);
     void onDocument(std::shared_ptr<const config::Document> document);
     void rebuildRouting();
 
@@ -98,7 +98,7 @@
     const std::string ownAddress_;
     Hooks hooks_;
     std::mt19937_64 random_;
-    platform::EtcdStore store_;
+    store::EtcdStore store_;
     PeerNetwork network_;
     MembershipDriver members_;
     ConfigurationDriver configuration_;
--- a/libs/daemon/src/membership_driver.cpp
+++ b/libs/daemon/src/membership_driver.cpp
@@ -12,9 +12,9 @@
 
 constexpr std::string_view viewSuffix = "/view";
 
-platform::Revision toRevision(membership::StoreRevision revision) { return { revision.value }; }
+store::Revision toRevision(membership::StoreRevision revision) { return { revision.value }; }
 
-membership::StoreRevision fromRevision(platform::Revision revision) { return { revision.value }; }
+membership::StoreRevision fromRevision(store::Revision revision) { return { revision.value }; }
 
 } // namespace
 
@@ -34,7 +34,7 @@
     return AvailabilityZone(std::string(key));
 }
 
-MembershipDriver::MembershipDriver(platform::Store& store, const membership::Settings& settings, Hooks hooks)
+MembershipDriver::MembershipDriver(store::Store& store, const membership::Settings& settings, Hooks hooks)
     : store_(store)
     , settings_(settings)
     , memberPrefix_(std::string(zonePrefix) + settings.zone.str() + "/member/")
@@ -46,7 +46,7 @@
 MembershipDriver::~MembershipDriver() { *alive_ = false; }
 
 template <typename Result>
-platform::Callback<Result> MembershipDriver::guarded(
+store::Callback<Result> MembershipDriver::guarded(
     membership::RequestId request, std::function<void(const Result&)> onResult)
 {
     return [this, alive = alive_, request, onResult = std::move(onResult)](
@@ -74,7 +74,7 @@
         hooks_.onViews();
 }
 
-void MembershipDriver::onStoreValue(const platform::KeyValue& value)
+void MembershipDriver::onStoreValue(const store::KeyValue& value)
 {
     auto zone = zoneOfViewKey(value.key);
     if (!zone || !value.modified)
@@ -116,7 +116,7 @@
 
 void MembershipDriver::listVms()
 {
-    store_.list(vmListPrefix, [this, alive = alive_](std::optional<platform::Listing> listing, const Error&) {
+    store_.list(vmListPrefix, [this, alive = alive_](std::optional<store::Listing> listing, const Error&) {
         if (!*alive || !listing)
             return;
         std::vector<VmId> vms;
@@ -135,7 +135,7 @@
 void MembershipDriver::perform(const membership::AcquireLease& action)
 {
     store_.grantLease(settings_.lease,
-        guarded<platform::LeaseGrant>(action.request, [this, action](const platform::LeaseGrant& grant) {
+        guarded<store::LeaseGrant>(action.request, [this, action](const store::LeaseGrant& grant) {
             lease_ = grant.lease;
             run(membership_.leaseGranted(action.request, hooks_.now()));
         }));
@@ -143,8 +143,8 @@
 
 void MembershipDriver::perform(const membership::RenewLease& action)
 {
-    store_.renewLease(lease_,
-        [this, alive = alive_, action](std::optional<platform::LeaseGrant> grant, const Error& reason) {
+    store_.renewLease(
+        lease_, [this, alive = alive_, action](std::optional<store::LeaseGrant> grant, const Error& reason) {
             if (!*alive)
                 return;
             const TimePoint now = hooks_.now();
@@ -159,7 +159,7 @@
 void MembershipDriver::perform(const membership::ReadView& action)
 {
     store_.get(viewKey(settings_.zone),
-        guarded<platform::Listing>(action.request, [this, action](const platform::Listing& listing) {
+        guarded<store::Listing>(action.request, [this, action](const store::Listing& listing) {
             const TimePoint now = hooks_.now();
             if (listing.entries.empty())
                 return run(membership_.viewRead(action.request, std::nullopt, {}, now));
@@ -179,7 +179,7 @@
 {
     store_.compareAndSwap(
         { viewKey(settings_.zone), toRevision(action.expected), membership::print(action.view), {} },
-        guarded<platform::SwapResult>(action.request, [this, action](const platform::SwapResult& result) {
+        guarded<store::SwapResult>(action.request, [this, action](const store::SwapResult& result) {
             std::optional<membership::StoreRevision> revision;
             if (result.swapped) {
                 revision = fromRevision(result.revision);
@@ -196,7 +196,7 @@
 {
     store_.compareAndSwap({ memberPrefix_ + settings_.vm.str(), toRevision(action.expected),
                               membership::print(action.record), lease_ },
-        guarded<platform::SwapResult>(action.request, [this, action](const platform::SwapResult& result) {
+        guarded<store::SwapResult>(action.request, [this, action](const store::SwapResult& result) {
             std::optional<membership::StoreRevision> revision;
             if (result.swapped)
                 revision = fromRevision(result.revision);
@@ -206,8 +206,8 @@
 
 void MembershipDriver::perform(const membership::ListMembers& action)
 {
-    store_.list(memberPrefix_,
-        guarded<platform::Listing>(action.request, [this, action](const platform::Listing& listing) {
+    store_.list(
+        memberPrefix_, guarded<store::Listing>(action.request, [this, action](const store::Listing& listing) {
             std::vector<membership::ListedRecord> records;
             for (const auto& entry : listing.entries) {
                 Error reason;
--- a/libs/daemon/src/membership_driver.h
+++ b/libs/daemon/src/membership_driver.h
@@ -2,7 +2,7 @@
 
 #include "membership/membership.h"
 #include "membership/zone_views.h"
-#include "platform/store.h"
+#include "store/store.h"
 #include "wire/messages.h"
 
 #include <functional>
@@ -41,7 +41,7 @@
         std::function<void()> onHandOverDone;
     };
 
-    MembershipDriver(platform::Store& store, const membership::Settings& settings, Hooks hooks);
+    MembershipDriver(store::Store& store, const membership::Settings& settings, Hooks hooks);
     ~MembershipDriver();
 
     membership::Membership& membership() { return membership_; }
@@ -51,7 +51,7 @@
     /** Carries out actions that a direct call of membership() returned. */
     void run(const membership::Actions& actions);
     /** Handles a change of a key below zonePrefix that a watch or listing showed. */
-    void onStoreValue(const platform::KeyValue& value);
+    void onStoreValue(const store::KeyValue& value);
     /** Takes a view that a peer sent. */
     void onPeerView(const membership::View& view);
     void onPromiseRequest(const VmId& from, const wire::PromiseRequest& request);
@@ -76,17 +76,17 @@
 
     /** Wraps a store callback so that it does nothing after this object is gone. */
     template <typename Result>
-    platform::Callback<Result> guarded(
+    store::Callback<Result> guarded(
         membership::RequestId request, std::function<void(const Result&)> onResult);
     void adopt(const membership::View& view);
 
-    platform::Store& store_;
+    store::Store& store_;
     const membership::Settings settings_;
     const std::string memberPrefix_;
     Hooks hooks_;
     membership::Membership membership_;
     membership::ZoneViews views_;
-    platform::LeaseId lease_;
+    store::LeaseId lease_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/libs/platform/include/platform/etcd_store.h
+++ b/libs/store/include/store/etcd_store.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -8,12 +8,12 @@
 #include <memory>
 #include <string>
 
-namespace banyancroft::platform {
+namespace banyancroft::store {
 
 /**
  * Store over the etcd v3 HTTP/JSON gateway (section 3.1 of docs/design.md).
  *
- *     platform::EtcdStore store(ioContext, { .address = "127.0.0.1", .port = 2379 });
+ *     store::EtcdStore store(ioContext, { .address = "127.0.0.1", .port = 2379 });
  *     store.get("/banyancroft/config", [](auto listing, const Error& reason) { … });
  *
  * Owned and used by the thread that runs the io_context. Callbacks never run inside the call that
@@ -59,4 +59,4 @@
     std::shared_ptr<Impl> impl_;
 };
 
-} // namespace banyancroft::platform
+} // namespace banyancroft::store
--- a/libs/platform/include/platform/fake_store.h
+++ b/libs/store/include/store/fake_store.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <deque>
 #include <functional>
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace banyancroft::platform {
+namespace banyancroft::store {
 
 /**
  * Store in memory for tests, with faults. Callbacks run in run() or runOne(), never inside a call, so
@@ -19,7 +19,7 @@
  *     store.compareAndSwap(swap, callback);
  *     store.run(now); // the write took effect, the callback gets ErrorKind::TimedOut
  *
- * Link banyancroft_platform_fakes. Not thread-safe.
+ * Link banyancroft_store_fakes. Not thread-safe.
  */
 class FakeStore : public Store {
 public:
@@ -93,4 +93,4 @@
     bool down_ = false;
 };
 
-} // namespace banyancroft::platform
+} // namespace banyancroft::store
--- a/libs/platform/include/platform/http_client.h
+++ b/libs/store/include/store/http_client.h
@@ -15,7 +15,7 @@
 #include <utility>
 #include <vector>
 
-namespace banyancroft::platform {
+namespace banyancroft::store {
 
 struct HttpAnswer {
     unsigned status = 0;
@@ -77,4 +77,4 @@
     std::shared_ptr<Impl> impl_;
 };
 
-} // namespace banyancroft::platform
+} // namespace banyancroft::store
--- a/libs/platform/include/platform/store.h
+++ b/libs/store/include/store/store.h
@@ -12,7 +12,7 @@
 #include <string_view>
 #include <vector>
 
-namespace banyancroft::platform {
+namespace banyancroft::store {
 
 /** Revision of the store at which a key was last written; zero means "the key does not exist". */
 using Revision = NumberId<struct RevisionTag>;
@@ -95,4 +95,4 @@
         = 0;
 };
 
-} // namespace banyancroft::platform
+} // namespace banyancroft::store
--- a/libs/platform/src/base64.cpp
+++ b/libs/store/src/base64.cpp
@@ -1,9 +1,9 @@
-#include "platform/base64.h"
+#include "store/base64.h"
 
 #include <array>
 #include <cstdint>
 
-namespace banyancroft::platform {
+namespace banyancroft::store {
 
 namespace {
 
@@ -64,4 +64,4 @@
     return bytes;
 }
 
-} // namespace banyancroft::platform
+} // namespace banyancroft::store
--- a/libs/platform/src/etcd_messages.cpp
+++ b/libs/store/src/etcd_messages.cpp
@@ -1,13 +1,13 @@
 #include "etcd_messages.h"
 
-#include "platform/base64.h"
+#include "store/base64.h"
 
 #include <nlohmann/json.hpp>
 
 #include <charconv>
 #include <stdexcept>
 
-namespace banyancroft::platform {
+namespace banyancroft::store {
 
 using Json = nlohmann::json;
 
@@ -279,4 +279,4 @@
     return { ErrorKind::MalformedMessage, message, "check that --store names an etcd v3 JSON gateway" };
 }
 
-} // namespace banyancroft::platform
+} // namespace banyancroft::store
--- a/libs/platform/src/etcd_messages.h
+++ b/libs/store/src/etcd_messages.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <string>
 #include <string_view>
 
-namespace banyancroft::platform {
+namespace banyancroft::store {
 
 /** Bodies of calls and answers of the etcd v3 JSON gateway. Pure functions. */
 
@@ -33,4 +33,4 @@
 /** The error of an answer that is not 200. */
 Error errorOfStatus(unsigned status, std::string_view body);
 
-} // namespace banyancroft::platform
+} // namespace banyancroft::store
--- a/libs/platform/src/etcd_store.cpp
+++ b/libs/store/src/etcd_store.cpp
@@ -1,11 +1,11 @@
-#include "platform/etcd_store.h"
+#include "store/etcd_store.h"
 
 #include "etcd_messages.h"
-#include "platform/http_client.h"
+#include "store/http_client.h"
 
 #include <map>
 
-namespace banyancroft::platform {
+namespace banyancroft::store {
 
 namespace {
 
@@ -181,4 +181,4 @@
     impl_->watch(std::string(prefix), after, std::move(onChange), std::move(onEnd));
 }
 
-} // namespace banyancroft::platform
+} // namespace banyancroft::store
--- a/libs/platform/src/fake_store.cpp
+++ b/libs/store/src/fake_store.cpp
@@ -1,9 +1,9 @@
-#include "platform/fake_store.h"
+#include "store/fake_store.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace banyancroft::platform {
+namespace banyancroft::store {
 
 namespace {
 
@@ -226,4 +226,4 @@
         erase(lease);
 }
 
-} // namespace banyancroft::platform
+} // namespace banyancroft::store
--- a/libs/platform/src/http_client.cpp
+++ b/libs/store/src/http_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "store/http_client.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -12,7 +12,7 @@
 #include <array>
 #include <set>
 
-namespace banyancroft::platform {
+namespace banyancroft::store {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -338,4 +338,4 @@
     };
 }
 
-} // namespace banyancroft::platform
+} // namespace banyancroft::store
--- a/libs/platform/tests/test_etcd_store.cpp
+++ b/libs/store/tests/test_etcd_store.cpp
@@ -1,6 +1,6 @@
-#include "platform/base64.h"
-#include "platform/etcd_store.h"
-#include "platform/http_client.h"
+#include "store/base64.h"
+#include "store/etcd_store.h"
+#include "store/http_client.h"
 
 #include "http_server/http_server.h"
 #include "platform_emulator/platform_emulator.h"
@@ -8,7 +8,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace banyancroft;
-using namespace banyancroft::platform;
+using namespace banyancroft::store;
 using namespace std::chrono_literals;
 
 namespace {
--- a/libs/platform/tests/test_fake_store.cpp
+++ b/libs/store/tests/test_fake_store.cpp
@@ -1,11 +1,11 @@
-#include "platform/fake_store.h"
+#include "store/fake_store.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <memory>
 
 using namespace banyancroft;
-using namespace banyancroft::platform;
+using namespace banyancroft::store;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tools/bench/src/cluster.cpp
+++ b/tools/bench/src/cluster.cpp
@@ -2,7 +2,7 @@
 
 #include "config/document_json.h"
 #include "http_call.h"
-#include "platform/etcd_store.h"
+#include "store/etcd_store.h"
 
 #include <csignal>
 #include <stdexcept>
@@ -22,7 +22,7 @@
 template <typename Result, typename Start> Result storeCall(std::uint16_t port, const Start& start)
 {
     boost::asio::io_context ioContext(1);
-    platform::EtcdStore store(ioContext, { .address = "127.0.0.1", .port = port });
+    store::EtcdStore store(ioContext, { .address = "127.0.0.1", .port = port });
     std::optional<Result> result;
     Error failure;
     start(store, [&](std::optional<Result> value, const Error& reason) {
@@ -149,17 +149,17 @@
     return adminCall(upstreamAdminPort_, target == "/books" ? "GET" : "POST", target, body);
 }
 
-platform::HttpAnswer Cluster::operate(std::size_t daemon, const std::string& statement) const
+store::HttpAnswer Cluster::operate(std::size_t daemon, const std::string& statement) const
 {
     auto answer = httpCall(endpoints_.port(daemon), "POST", "/v1/query", statement,
         { { "Authorization", std::string("Bearer ") + operatorToken } });
-    return answer ? std::move(*answer) : platform::HttpAnswer { 0, "no answer" };
+    return answer ? std::move(*answer) : store::HttpAnswer { 0, "no answer" };
 }
 
 config::Document Cluster::storedDocument() const
 {
-    const auto listing = storeCall<platform::Listing>(
-        storePort_, [](platform::EtcdStore& store, auto callback) { store.get(configKey, callback); });
+    const auto listing = storeCall<store::Listing>(
+        storePort_, [](store::EtcdStore& store, auto callback) { store.get(configKey, callback); });
     Error reason;
     const auto document
         = listing.entries.empty() ? std::nullopt : config::parseDocument(listing.entries[0].value, reason);
@@ -170,10 +170,9 @@
 
 void Cluster::writeStore(const std::string& key, const std::string& value) const
 {
-    const auto result
-        = storeCall<platform::SwapResult>(storePort_, [&](platform::EtcdStore& store, auto callback) {
-              store.compareAndSwap({ key, {}, value, {} }, callback);
-          });
+    const auto result = storeCall<store::SwapResult>(storePort_, [&](store::EtcdStore& store, auto callback) {
+        store.compareAndSwap({ key, {}, value, {} }, callback);
+    });
     if (!result.swapped)
         throw std::runtime_error("key " + key + " exists already");
 }
--- a/tools/bench/src/http_call.h
+++ b/tools/bench/src/http_call.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/http_client.h"
+#include "store/http_client.h"
 
 #include <cstdint>
 #include <optional>
@@ -10,8 +10,8 @@
 namespace banyancroft::tools {
 
 /** One HTTP call to 127.0.0.1 that waits for its answer; empty when none came in time. */
-std::optional<platform::HttpAnswer> httpCall(std::uint16_t port, std::string_view method,
-    std::string_view target, const std::string& body = {}, const platform::HttpClient::Headers& headers = {});
+std::optional<store::HttpAnswer> httpCall(std::uint16_t port, std::string_view method,
+    std::string_view target, const std::string& body = {}, const store::HttpClient::Headers& headers = {});
 
 /** Like httpCall(), for admin calls that must succeed: throws std::runtime_error otherwise. */
 std::string adminCall(
--- a/tools/bench/src/load_generator.cpp
+++ b/tools/bench/src/load_generator.cpp
@@ -1,6 +1,6 @@
 #include "load_generator.h"
 
-#include "platform/http_client.h"
+#include "store/http_client.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -11,7 +11,7 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
-using platform::HttpClient;
+using store::HttpClient;
 
 namespace {
 
@@ -129,7 +129,7 @@
             return close();
         }
         backend->client->call("POST", "/v1/query", request.statement, answerPatience,
-            [this, &request, place, attempts](auto answer, const platform::HttpError& failure) {
+            [this, &request, place, attempts](auto answer, const store::HttpError& failure) {
                 if (answer)
                     return receive(request, *answer);
                 if (!failure.sent)
@@ -139,7 +139,7 @@
             { { "Content-Type", "text/plain" } });
     }
 
-    void receive(const PlannedRequest& request, const platform::HttpAnswer& answer)
+    void receive(const PlannedRequest& request, const store::HttpAnswer& answer)
     {
         const bool search = request.kind == PlannedRequest::Kind::Search;
         const auto checked = search ? checker_.checkSearch(request.collection, answer.status, answer.body)
--- a/tools/platform_emulator/src/gateway.cpp
+++ b/tools/platform_emulator/src/gateway.cpp
@@ -1,6 +1,6 @@
 #include "platform_emulator/gateway.h"
 
-#include "platform/base64.h"
+#include "store/base64.h"
 
 #include <nlohmann/json.hpp>
 
@@ -9,8 +9,8 @@
 namespace banyancroft::tools {
 
 using Json = nlohmann::json;
-using platform::decodeBase64;
-using platform::encodeBase64;
+using store::decodeBase64;
+using store::encodeBase64;
 
 namespace {
 
--- a/tools/upstream_emulator/tests/test_upstream_fleet.cpp
+++ b/tools/upstream_emulator/tests/test_upstream_fleet.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "store/http_client.h"
 #include "upstream_emulator/rows.h"
 #include "upstream_emulator/upstream_fleet.h"
 
@@ -10,8 +10,8 @@
 
 using namespace banyancroft;
 using namespace banyancroft::tools;
-using platform::HttpAnswer;
-using platform::HttpClient;
+using store::HttpAnswer;
+using store::HttpClient;
 using Json = nlohmann::json;
 using namespace std::chrono_literals;
 
