--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -15,6 +15,9 @@
 
 # Adds a CTest entry for each tests/test_*.cpp of the calling folder.
 function(banyancroft_tests NAME)
+    if(BANYANCROFT_DEPLOY)
+        return()
+    endif()
     file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/test_*.cpp)
     foreach(source ${tests})
         get_filename_component(stem ${source} NAME_WE)
--- /dev/null
+++ b/libs/dispatch/src/request_plan.cpp
@@ -0,0 +1,142 @@
+#include "dispatch/request_plan.h"
+
+#include <algorithm>
+
+namespace banyancroft::dispatch {
+
+RequestPlan::RequestPlan(const PlanRules& rules, std::function<Duration(std::size_t)> hedgeDelay)
+    : rules_(rules)
+    , hedgeDelay_(std::move(hedgeDelay))
+    , shards_(rules.shards)
+{
+}
+
+bool RequestPlan::isExhausted(const Shard& shard) const
+{
+    if (shard.done || !isIdle(shard))
+        return false;
+    if (shard.unavailable || shard.sends >= std::max(1U, rules_.maxUpstreams))
+        return true;
+    return shard.failed && !rules_.repeatable;
+}
+
+bool RequestPlan::mayHaveRun() const
+{
+    return std::any_of(shards_.begin(), shards_.end(),
+        [](const Shard& shard) { return shard.done || shard.failed || shard.outstanding > 0; });
+}
+
+bool RequestPlan::wasOffered() const
+{
+    return std::any_of(shards_.begin(), shards_.end(), [](const Shard& shard) { return shard.offered > 0; });
+}
+
+Step RequestPlan::giveUp() const
+{
+    Step step;
+    step.kind = mayHaveRun() ? StepKind::Fail : StepKind::Refuse;
+    return step;
+}
+
+Step RequestPlan::shardStep(std::size_t index, TimePoint now) const
+{
+    const auto& shard = shards_[index];
+    Step step;
+    step.shard = index;
+    step.until = rules_.deadline;
+    if (shard.done || isExhausted(shard) || shard.unavailable)
+        return step;
+    step.repeat = shard.offered > 0;
+    auto due = shard.blockedUntil;
+    if (!isIdle(shard)) {
+        // A second copy beside the first, which may still answer.
+        if (!rules_.repeatable || shard.sends >= rules_.maxUpstreams)
+            return step;
+        due = std::max(due, shard.lastSendAt + hedgeDelay_(index));
+        step.repeat = true;
+    }
+    step.until = due;
+    if (now < due)
+        return step;
+    step.optional = step.repeat && partsIn_ >= rules_.needed;
+    step.kind = StepKind::Send;
+    return step;
+}
+
+Step RequestPlan::next(TimePoint now)
+{
+    Step wait;
+    if (partsIn_ == rules_.shards) {
+        wait.kind = StepKind::Answer;
+        return wait;
+    }
+    const auto exhausted = static_cast<std::size_t>(std::count_if(
+        shards_.begin(), shards_.end(), [this](const Shard& shard) { return isExhausted(shard); }));
+    const bool enough = partsIn_ >= rules_.needed;
+    if (enough && (now >= rules_.answerAt || partsIn_ + exhausted == rules_.shards)) {
+        wait.kind = StepKind::Answer;
+        return wait;
+    }
+    if (rules_.shards - exhausted < rules_.needed || now >= rules_.deadline)
+        return giveUp();
+    wait.until = enough ? std::min(rules_.answerAt, rules_.deadline) : rules_.deadline;
+    for (std::size_t i = 0; i < shards_.size(); ++i) {
+        const auto step = shardStep(i, now);
+        if (step.kind == StepKind::Send)
+            return step;
+        wait.until = std::min(wait.until, step.until);
+    }
+    return wait;
+}
+
+void RequestPlan::connecting(std::size_t shard, TimePoint now)
+{
+    auto& entry = shards_[shard];
+    ++entry.sends;
+    ++entry.connecting;
+    entry.lastSendAt = now;
+}
+
+void RequestPlan::connectFailed(std::size_t shard)
+{
+    auto& entry = shards_[shard];
+    --entry.connecting;
+    --entry.sends;
+}
+
+void RequestPlan::sent(std::size_t shard, bool wasConnecting, TimePoint now)
+{
+    auto& entry = shards_[shard];
+    if (wasConnecting) {
+        --entry.connecting;
+    } else {
+        ++entry.sends;
+    }
+    ++entry.outstanding;
+    ++entry.offered;
+    entry.lastSendAt = now;
+}
+
+void RequestPlan::answered(std::size_t shard)
+{
+    auto& entry = shards_[shard];
+    --entry.outstanding;
+    if (!entry.done) {
+        entry.done = true;
+        ++partsIn_;
+    }
+}
+
+void RequestPlan::refused(std::size_t shard) { --shards_[shard].outstanding; }
+
+void RequestPlan::failed(std::size_t shard)
+{
+    --shards_[shard].outstanding;
+    shards_[shard].failed = true;
+}
+
+void RequestPlan::blocked(std::size_t shard, TimePoint retryAt) { shards_[shard].blockedUntil = retryAt; }
+
+void RequestPlan::unavailable(std::size_t shard) { shards_[shard].unavailable = true; }
+
+} // namespace banyancroft::dispatch
--- /dev/null
+++ b/libs/gateway/include/gateway/settings.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "dispatch/retry_budget.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace banyancroft::gateway {
+
+/** Where a listener is bound. */
+struct ListenAddress {
+    /** IP number. */
+    std::string address;
+    /** Zero for one that the system picks. */
+    std::uint16_t port = 0;
+};
+
+/** Settings of one VM's gateway; durations are checked to be positive by whoever fills them in. */
+struct Settings {
+    VmId vm;
+    AvailabilityZone zone;
+    ListenAddress callers;
+    ListenAddress readiness;
+    ListenAddress metrics;
+    std::string metricsPath = "/metrics";
+
+    /** Limit on repeated sends over all VMs. */
+    dispatch::RetryLimit retries;
+    /** Factor on the declared rate of a cold upstream that all VMs together may reach. */
+    double coldOvershoot = 1;
+    /** Requests per second that a cold upstream may get besides. */
+    double coldSlack = 0;
+    /** Longest time between a stop signal and the end of the process. */
+    Duration stopGrace = std::chrono::seconds(6);
+    /** Time in which registrations that lapsed during a store outage come back. */
+    Duration registrationReturn = std::chrono::seconds(2);
+    /** Time in one direction between callers and the VM. */
+    Duration callerDelay = std::chrono::milliseconds(3);
+    /** Shortest lease that the store grants. */
+    Duration leastLease = std::chrono::seconds(1);
+    /** Pause between two questions for changes at the store. */
+    Duration storePollPause = std::chrono::milliseconds(900);
+    /** Descriptors that may be open for callers and upstreams together. */
+    std::size_t maxSockets = 3000;
+    /** Lines per second that requests may write to the log; the rest is counted. */
+    double requestLogRate = 200;
+};
+
+} // namespace banyancroft::gateway
--- /dev/null
+++ b/libs/gateway/src/front_server.cpp
@@ -0,0 +1,122 @@
+#include "front_server.h"
+
+#include <algorithm>
+
+namespace banyancroft::gateway {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/** Connections that wait to be accepted: all callers of a VM may come at once after a restart. */
+constexpr int backlog = 1024;
+
+} // namespace
+
+std::optional<tcp::endpoint> endpointOf(const ListenAddress& address, Error& reason)
+{
+    error_code failure;
+    const auto ip = boost::asio::ip::make_address(address.address, failure);
+    if (failure) {
+        reason = { ErrorKind::InvalidInput, "\"" + address.address + "\" is no IP number",
+            "give the address as IP:port" };
+        return std::nullopt;
+    }
+    return tcp::endpoint(ip, address.port);
+}
+
+FrontServer::FrontServer(boost::asio::io_context& ioContext, std::size_t maxConnections, Handler handler)
+    : ioContext_(ioContext)
+    , acceptor_(ioContext)
+    , maxConnections_(maxConnections)
+    , handler_(std::move(handler))
+{
+}
+
+FrontServer::~FrontServer() { closeAll(); }
+
+bool FrontServer::listen(const ListenAddress& address, Error& reason)
+{
+    const auto endpoint = endpointOf(address, reason);
+    if (!endpoint)
+        return false;
+    error_code failure;
+    acceptor_.open(endpoint->protocol(), failure);
+    if (!failure)
+        acceptor_.set_option(tcp::acceptor::reuse_address(true), failure);
+    if (!failure)
+        acceptor_.bind(*endpoint, failure);
+    if (!failure)
+        acceptor_.listen(backlog, failure);
+    if (failure) {
+        reason = { ErrorKind::Unavailable,
+            "cannot listen on " + address.address + ":" + std::to_string(address.port) + ": "
+                + failure.message(),
+            "end the process that holds the address, or change the setting" };
+        return false;
+    }
+    accept();
+    return true;
+}
+
+void FrontServer::setLimits(const http::ReadLimits& limits, const CallerTimeouts& timeouts)
+{
+    limits_ = limits;
+    timeouts_ = timeouts;
+}
+
+void FrontServer::accept()
+{
+    if (accepting_ || !acceptor_.is_open() || connections_.size() >= maxConnections_)
+        return;
+    accepting_ = true;
+    acceptor_.async_accept([this](const error_code& failure, tcp::socket socket) {
+        accepting_ = false;
+        if (failure == boost::asio::error::operation_aborted)
+            return;
+        if (!failure) {
+            CallerConnection::Hooks hooks;
+            hooks.request = handler_;
+            hooks.closed = [this](CallerConnection& closed) {
+                connections_.erase(closed.shared_from_this());
+                accept();
+            };
+            hooks.isStopping = [this] { return stopping_; };
+            auto connection
+                = std::make_shared<CallerConnection>(std::move(socket), limits_, std::move(hooks));
+            connections_.insert(connection);
+            connection->start(BootClock::now());
+        }
+        accept();
+    });
+}
+
+void FrontServer::closeListener()
+{
+    error_code ignored;
+    acceptor_.close(ignored);
+}
+
+void FrontServer::closeAll()
+{
+    closeListener();
+    const auto open = connections_;
+    for (const auto& connection : open)
+        connection->close();
+}
+
+void FrontServer::expire(TimePoint now)
+{
+    const auto open = connections_;
+    for (const auto& connection : open)
+        connection->expire(timeouts_, now);
+}
+
+std::size_t FrontServer::busyCount() const
+{
+    return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+        [](const auto& connection) { return connection->isBusy() || connection->isReading(); }));
+}
+
+} // namespace banyancroft::gateway
--- /dev/null
+++ b/libs/gateway/src/gateway.cpp
@@ -0,0 +1,361 @@
+#include "gateway/gateway.h"
+
+#include "front_server.h"
+#include "membership.h"
+#include "readiness.h"
+#include "request_runner.h"
+#include "store_follower.h"
+#include "telemetry/log.h"
+#include "traffic.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <set>
+#include <tuple>
+
+namespace banyancroft::gateway {
+
+namespace {
+
+using telemetry::log;
+using telemetry::LogLevel;
+
+/** Resolution of timeouts that are not set for a single request. */
+constexpr Duration tickPeriod = std::chrono::milliseconds(50);
+constexpr Duration stopPeriod = std::chrono::milliseconds(20);
+/** Time to live of a registration: long enough to outlast short outages of the store. */
+constexpr Duration registrationLease = std::chrono::seconds(5);
+/** Connections to the readiness and metrics addresses. */
+constexpr std::size_t maxProbeConnections = 32;
+/** Part of the sockets that callers may use; the rest is for replicas and the store. */
+constexpr std::size_t callerSocketPart = 2;
+
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusUnavailable = 503;
+
+} // namespace
+
+class Gateway::Impl {
+public:
+    Impl(boost::asio::io_context& ioContext, Settings settings, Dialect dialect, StoreLayout layout,
+        store::PolledStore& store)
+        : ioContext_(ioContext)
+        , settings_(std::move(settings))
+        , dialect_(std::move(dialect))
+        , layout_(std::move(layout))
+        , traffic_(ioContext, settings_, dialect_, metrics_, BootClock::now())
+        , members_(settings_.vm)
+        , follower_(
+              ioContext, store, layout_.watchedPrefix, settings_.storePollPause, followerHooks(), metrics_)
+        , registration_(ioContext, store, layout_.memberPrefix + settings_.vm.str(),
+              std::max<Duration>(settings_.leastLease, registrationLease))
+        , callers_(ioContext, settings_.maxSockets / callerSocketPart,
+              [this](
+                  const CallerRequest& request) { RequestRunner::run(traffic_, request, BootClock::now()); })
+        , probes_(ioContext, maxProbeConnections, [this](const CallerRequest& request) { probe(request); })
+        , metricsServer_(
+              ioContext, maxProbeConnections, [this](const CallerRequest& request) { showMetrics(request); })
+        , signals_(ioContext, SIGTERM, SIGINT, SIGHUP)
+        , tickTimer_(ioContext)
+        , stopTimer_(ioContext)
+    {
+        metrics_.gauge("banyancroft_gateway_config_version", "Version of the configuration in force",
+            [this] { return static_cast<double>(traffic_.configuration().version().value); });
+        metrics_.gauge("banyancroft_gateway_upstreams", "Replicas that are registered",
+            [this] { return static_cast<double>(traffic_.registry().size()); });
+        metrics_.gauge("banyancroft_gateway_vms", "Live VMs that share limits",
+            [this] { return static_cast<double>(traffic_.liveVms()); });
+        metrics_.gauge("banyancroft_gateway_ready", "1 while the readiness probe answers 200",
+            [this] { return isReadyNow(BootClock::now()) ? 1.0 : 0.0; });
+        metrics_.gauge("banyancroft_store_silence_seconds", "Time since the store last answered",
+            [this] { return toMillis(follower_.silence(BootClock::now())) / 1000; });
+    }
+
+    bool start(Error& reason)
+    {
+        if (!callers_.listen(settings_.callers, reason) || !probes_.listen(settings_.readiness, reason)
+            || !metricsServer_.listen(settings_.metrics, reason))
+            return false;
+        log(LogLevel::Info, "gateway", "started",
+            { { "version", BANYANCROFT_VERSION }, { "zone", settings_.zone.str() },
+                { "callers", settings_.callers.address + ":" + std::to_string(settings_.callers.port) } });
+        follower_.start();
+        registration_.start();
+        waitForSignal();
+        tick();
+        return true;
+    }
+
+    std::function<std::optional<Settings>(Error&)> reload_;
+
+private:
+    StoreFollower::Hooks followerHooks()
+    {
+        StoreFollower::Hooks hooks;
+        hooks.listed = [this](std::span<const store::KeyValue> entries) { applyListing(entries); };
+        hooks.changed = [this](std::span<const store::KeyValue> entries) {
+            for (const auto& entry : entries)
+                applyChange(entry);
+            noteMembers();
+        };
+        hooks.returned = [this] { traffic_.registry().storeReturned(BootClock::now()); };
+        return hooks;
+    }
+
+    /** The item, or OtherKey for a value that cannot be read. */
+    StoreItem decode(const store::KeyValue& entry)
+    {
+        Error reason;
+        auto item = layout_.decode(entry, reason);
+        if (item)
+            return std::move(*item);
+        malformed_.add();
+        log(LogLevel::Warn, "store", "value cannot be read",
+            { { "key", entry.key }, { "revision", std::to_string(entry.modified.value) },
+                { "reason", toString(reason) } });
+        return OtherKey {};
+    }
+
+    void applyListing(std::span<const store::KeyValue> entries)
+    {
+        const auto now = BootClock::now();
+        std::vector<upstreams::UpstreamRecord> records;
+        std::set<AvailabilityZone> zonesOut;
+        std::set<VmId> vms;
+        for (const auto& entry : entries) {
+            auto item = decode(entry);
+            if (auto* configuration = std::get_if<routing::Configuration>(&item))
+                acceptConfiguration(std::move(*configuration), entry.modified, now);
+            if (auto* change = std::get_if<upstreams::RegistryChange>(&item); change && change->record)
+                records.push_back(std::move(*change->record));
+            if (const auto* zone = std::get_if<ZoneOutChange>(&item))
+                zonesOut.insert(zone->zone);
+            if (const auto* member = std::get_if<MemberChange>(&item))
+                vms.insert(member->vm);
+        }
+        traffic_.registry().applyListing(records, now);
+        setZonesOut(std::move(zonesOut));
+        members_.listed(vms, now);
+        hasListed_ = true;
+        noteMembers();
+    }
+
+    void applyChange(const store::KeyValue& entry)
+    {
+        const auto now = BootClock::now();
+        auto item = entry.modified ? decode(entry) : layout_.decodeRemoval(entry.key);
+        if (auto* configuration = std::get_if<routing::Configuration>(&item))
+            acceptConfiguration(std::move(*configuration), entry.modified, now);
+        if (const auto* change = std::get_if<upstreams::RegistryChange>(&item))
+            traffic_.registry().apply(*change, now);
+        if (const auto* zone = std::get_if<ZoneOutChange>(&item)) {
+            auto zones = traffic_.registry().zonesOut();
+            if (zone->isOut) {
+                zones.insert(zone->zone);
+            } else {
+                zones.erase(zone->zone);
+            }
+            setZonesOut(std::move(zones));
+        }
+        if (const auto* member = std::get_if<MemberChange>(&item)) {
+            if (member->isLive) {
+                members_.joined(member->vm, now);
+            } else {
+                members_.left(member->vm, now);
+            }
+        }
+    }
+
+    void setZonesOut(std::set<AvailabilityZone> zones)
+    {
+        if (zones == traffic_.registry().zonesOut())
+            return;
+        std::string names;
+        for (const auto& zone : zones)
+            names.append(names.empty() ? "" : ",").append(zone.view());
+        log(LogLevel::Info, "registry", "availability zones taken out", { { "zones", names } });
+        traffic_.registry().setZonesOut(std::move(zones));
+    }
+
+    void acceptConfiguration(routing::Configuration configuration, store::Revision revision, TimePoint now)
+    {
+        const auto version = configuration.version;
+        const auto limits = configuration.limits;
+        const bool accepted = traffic_.configuration().offer(std::move(configuration), now);
+        log(LogLevel::Info, "configuration",
+            accepted ? "configuration accepted" : "configuration is not newer",
+            { { "version", std::to_string(version.value) },
+                { "in_force", std::to_string(traffic_.configuration().version().value) },
+                { "revision", std::to_string(revision.value) } });
+        if (accepted)
+            callers_.setLimits(
+                { limits.headerBytes, limits.bodyBytes }, { limits.headerTimeout, limits.idleTimeout });
+    }
+
+    void noteMembers()
+    {
+        const auto vms = members_.count(BootClock::now());
+        if (vms == traffic_.liveVms())
+            return;
+        log(LogLevel::Info, "membership", "number of live VMs changed",
+            { { "before", std::to_string(traffic_.liveVms()) }, { "now", std::to_string(vms) } });
+        traffic_.setLiveVms(vms);
+    }
+
+    bool isReadyNow(TimePoint now) const
+    {
+        ReadinessInputs inputs;
+        inputs.hasConfiguration = traffic_.configuration().current() != nullptr;
+        inputs.hasRegistrations = hasListed_;
+        inputs.isStopping = stopping_;
+        inputs.storeSilence = follower_.silence(now);
+        std::tie(inputs.services, inputs.reachableServices) = traffic_.reachableServices(now);
+        return isReady(inputs);
+    }
+
+    void probe(const CallerRequest& request)
+    {
+        http::Response response;
+        const auto now = BootClock::now();
+        const bool ready = isReadyNow(now);
+        if (request.head.target != dialect_.readyPath) {
+            response.status = statusNotFound;
+        } else if (!ready) {
+            response.status = statusUnavailable;
+        }
+        if (ready != wasReady_) {
+            wasReady_ = ready;
+            log(LogLevel::Info, "gateway", ready ? "ready" : "not ready",
+                { { "store_silence_ms", std::to_string(toMillis(follower_.silence(now))) },
+                    { "config", std::to_string(traffic_.configuration().version().value) },
+                    { "stopping", stopping_ ? "yes" : "no" } });
+        }
+        request.connection->respond(response, false);
+    }
+
+    void showMetrics(const CallerRequest& request)
+    {
+        http::Response response;
+        if (request.head.target == settings_.metricsPath) {
+            response.fields.emplace_back("Content-Type", "text/plain; version=0.0.4");
+            response.body = metrics_.write();
+        } else {
+            response.status = statusNotFound;
+        }
+        request.connection->respond(response, false);
+    }
+
+    void waitForSignal()
+    {
+        signals_.async_wait([this](const boost::system::error_code& failure, int signal) {
+            if (failure)
+                return;
+            if (signal == SIGHUP) {
+                reload();
+            } else {
+                beginStop();
+            }
+            waitForSignal();
+        });
+    }
+
+    void reload()
+    {
+        Error reason;
+        const auto settings = reload_ ? reload_(reason) : std::nullopt;
+        log(settings ? LogLevel::Info : LogLevel::Warn, "gateway",
+            settings ? "settings read again" : "settings cannot be read again, the old ones stay",
+            { { "reason", toString(reason) } });
+    }
+
+    void beginStop()
+    {
+        if (stopping_)
+            return;
+        stopping_ = true;
+        stoppedAt_ = BootClock::now();
+        log(LogLevel::Info, "gateway", "stopping",
+            { { "connections", std::to_string(callers_.connectionCount()) },
+                { "busy", std::to_string(callers_.busyCount()) } });
+        callers_.stopKeepingConnections();
+        registration_.stop([] {});
+        goOnStopping();
+    }
+
+    void goOnStopping()
+    {
+        const auto now = BootClock::now();
+        const auto busy = callers_.busyCount();
+        if (stopStep(now - stoppedAt_, settings_.stopGrace, busy) == StopStep::Exit) {
+            log(LogLevel::Info, "gateway", "stopped",
+                { { "busy", std::to_string(busy) },
+                    { "connections", std::to_string(callers_.connectionCount()) } });
+            telemetry::flushLog();
+            return ioContext_.stop();
+        }
+        stopTimer_.expires_after(stopPeriod);
+        stopTimer_.async_wait([this](const boost::system::error_code& failure) {
+            if (!failure)
+                goOnStopping();
+        });
+    }
+
+    void tick()
+    {
+        const auto now = BootClock::now();
+        traffic_.tick(now);
+        callers_.expire(now);
+        probes_.expire(now);
+        metricsServer_.expire(now);
+        noteMembers();
+        telemetry::flushLog();
+        tickTimer_.expires_after(tickPeriod);
+        tickTimer_.async_wait([this](const boost::system::error_code& failure) {
+            if (!failure)
+                tick();
+        });
+    }
+
+    boost::asio::io_context& ioContext_;
+    const Settings settings_;
+    const Dialect dialect_;
+    const StoreLayout layout_;
+    telemetry::Metrics metrics_;
+    telemetry::Counter& malformed_
+        = metrics_.counter("banyancroft_store_malformed_total", "Values of the store that cannot be read");
+    Traffic traffic_;
+    MemberCount members_;
+    StoreFollower follower_;
+    Registration registration_;
+    FrontServer callers_;
+    FrontServer probes_;
+    FrontServer metricsServer_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer tickTimer_;
+    boost::asio::steady_timer stopTimer_;
+    TimePoint stoppedAt_ {};
+    bool hasListed_ = false;
+    bool stopping_ = false;
+    bool wasReady_ = false;
+};
+
+Gateway::Gateway(boost::asio::io_context& ioContext, Settings settings, Dialect dialect, StoreLayout layout,
+    store::PolledStore& store)
+    : impl_(
+        std::make_unique<Impl>(ioContext, std::move(settings), std::move(dialect), std::move(layout), store))
+{
+}
+
+Gateway::~Gateway() = default;
+
+bool Gateway::start(Error& reason) { return impl_->start(reason); }
+
+void Gateway::onReload(std::function<std::optional<Settings>(Error&)> reload)
+{
+    impl_->reload_ = std::move(reload);
+}
+
+} // namespace banyancroft::gateway
--- /dev/null
+++ b/libs/gateway/src/membership.cpp
@@ -0,0 +1,133 @@
+#include "membership.h"
+
+#include "telemetry/log.h"
+
+#include <algorithm>
+
+namespace banyancroft::gateway {
+
+namespace {
+
+using telemetry::log;
+using telemetry::LogLevel;
+
+/** A VM that left may still have requests on their way, and others may not know yet that it left. */
+constexpr Duration countedAfterLeaving = std::chrono::seconds(5);
+constexpr Duration retryPause = std::chrono::milliseconds(500);
+/** Renewals in the time of a lease: two may fail. */
+constexpr int renewalsPerLease = 3;
+
+} // namespace
+
+MemberCount::MemberCount(VmId self)
+    : self_(std::move(self))
+{
+}
+
+void MemberCount::joined(const VmId& vm, TimePoint) { vms_[vm] = TimePoint::max(); }
+
+void MemberCount::left(const VmId& vm, TimePoint now)
+{
+    const auto found = vms_.find(vm);
+    if (found != vms_.end() && found->second == TimePoint::max())
+        found->second = now + countedAfterLeaving;
+}
+
+void MemberCount::listed(const std::set<VmId>& vms, TimePoint now)
+{
+    for (const auto& [vm, until] : std::map(vms_)) {
+        if (!vms.contains(vm))
+            left(vm, now);
+    }
+    for (const auto& vm : vms)
+        joined(vm, now);
+}
+
+unsigned MemberCount::count(TimePoint now) const
+{
+    const auto others = std::count_if(vms_.begin(), vms_.end(),
+        [&](const auto& entry) { return entry.first != self_ && entry.second > now; });
+    return static_cast<unsigned>(others) + 1;
+}
+
+Registration::Registration(
+    boost::asio::io_context& ioContext, store::PolledStore& store, std::string key, Duration timeToLive)
+    : timer_(ioContext)
+    , store_(store)
+    , key_(std::move(key))
+    , timeToLive_(timeToLive)
+{
+}
+
+void Registration::start() { grant(); }
+
+void Registration::after(Duration pause, std::function<void()> next)
+{
+    timer_.expires_after(pause);
+    timer_.async_wait([next = std::move(next)](const boost::system::error_code& failure) {
+        if (!failure)
+            next();
+    });
+}
+
+void Registration::grant()
+{
+    store_.grantLease(timeToLive_, [this](std::optional<store::LeaseGrant> grant, const Error& reason) {
+        if (stopping_)
+            return;
+        if (!grant) {
+            log(LogLevel::Warn, "membership", "no lease granted", { { "reason", toString(reason) } });
+            return after(retryPause, [this] { this->grant(); });
+        }
+        lease_ = grant->lease;
+        write();
+    });
+}
+
+void Registration::write()
+{
+    store_.put(key_, "{}", lease_, [this](std::optional<store::Revision> revision, const Error& reason) {
+        if (stopping_)
+            return;
+        if (!revision) {
+            log(LogLevel::Warn, "membership", "not registered", { { "reason", toString(reason) } });
+            const bool lapsed = reason.kind == ErrorKind::NotFound;
+            return after(retryPause, [this, lapsed] { lapsed ? grant() : write(); });
+        }
+        log(LogLevel::Info, "membership", "registered",
+            { { "key", key_ }, { "lease", std::to_string(lease_.value) },
+                { "revision", std::to_string(revision->value) } });
+        after(timeToLive_ / renewalsPerLease, [this] { renew(); });
+    });
+}
+
+void Registration::renew()
+{
+    store_.renewLease(lease_, [this](std::optional<store::LeaseGrant> grant, const Error& reason) {
+        if (stopping_)
+            return;
+        if (!grant && reason.kind == ErrorKind::NotFound) {
+            log(LogLevel::Warn, "membership", "lease lapsed, registering anew",
+                { { "lease", std::to_string(lease_.value) } });
+            return this->grant();
+        }
+        if (!grant)
+            log(LogLevel::Warn, "membership", "lease not renewed", { { "reason", toString(reason) } });
+        after(grant ? timeToLive_ / renewalsPerLease : retryPause, [this] { renew(); });
+    });
+}
+
+void Registration::stop(std::function<void()> done)
+{
+    stopping_ = true;
+    timer_.cancel();
+    if (!lease_)
+        return done();
+    store_.revokeLease(lease_, [done = std::move(done)](std::optional<bool> ended, const Error& reason) {
+        if (!ended)
+            log(LogLevel::Warn, "membership", "lease not ended", { { "reason", toString(reason) } });
+        done();
+    });
+}
+
+} // namespace banyancroft::gateway
--- /dev/null
+++ b/libs/gateway/src/readiness.cpp
@@ -0,0 +1,38 @@
+#include "readiness.h"
+
+namespace banyancroft::gateway {
+
+namespace {
+
+/** Without an answer for this long the store is taken to be out of reach. */
+constexpr Duration storeLost = std::chrono::milliseconds(1500);
+/** Part of the longest stop after which the balancer has seen two failed probes, at one a second. */
+constexpr double noticedPart = 0.45;
+/** Part of the longest stop that is left for the process to end in. */
+constexpr double exitPart = 0.9;
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+} // namespace
+
+bool isReady(const ReadinessInputs& inputs)
+{
+    if (inputs.isStopping || !inputs.hasConfiguration || !inputs.hasRegistrations)
+        return false;
+    const bool isCutOff = inputs.storeSilence > storeLost && inputs.reachableServices * 2 < inputs.services;
+    return !isCutOff;
+}
+
+StopStep stopStep(Duration sinceStop, Duration grace, std::size_t busy)
+{
+    if (sinceStop >= scaled(grace, exitPart))
+        return StopStep::Exit;
+    if (sinceStop < scaled(grace, noticedPart))
+        return StopStep::KeepAccepting;
+    return busy == 0 ? StopStep::Exit : StopStep::Finish;
+}
+
+} // namespace banyancroft::gateway
--- /dev/null
+++ b/libs/gateway/src/request_runner.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "caller_connection.h"
+#include "dispatch/request_plan.h"
+#include "gather_answer.h"
+#include "traffic.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace banyancroft::gateway {
+
+/**
+ * One request of a caller from its route to its answer: carries out the steps of a RequestPlan on the
+ * connections of replicas. Lives until it has answered; sub-requests that are still open then end on
+ * their own.
+ */
+class RequestRunner : public std::enable_shared_from_this<RequestRunner> {
+public:
+    /** Answers the request at once, or starts a runner for it. */
+    static void run(Traffic& traffic, const CallerRequest& request, TimePoint now);
+
+    RequestRunner(Traffic& traffic, const CallerRequest& request,
+        std::shared_ptr<const routing::RouteTable> routes, const routing::Route& route, Duration deadline);
+
+private:
+    /** One send to one replica. */
+    struct Attempt {
+        std::size_t shard = 0;
+        upstreams::UpstreamPointer upstream;
+        std::shared_ptr<UpstreamConnection> connection;
+        TimePoint startedAt {};
+        TimePoint sentAt {};
+        bool isRepeat = false;
+        bool wasConnecting = false;
+        bool sent = false;
+        bool ended = false;
+        /** No longer counted by the plan: its connection took too long to open. */
+        bool detached = false;
+    };
+    using AttemptPointer = std::shared_ptr<Attempt>;
+
+    void start(TimePoint now);
+    void drive(TimePoint now);
+    void wait(TimePoint until, TimePoint now);
+    /** Starts the send of a step, or tells the plan why it cannot. */
+    void send(const dispatch::Step& step, TimePoint now);
+    void connect(const AttemptPointer& attempt, TimePoint now);
+    void sendOn(const AttemptPointer& attempt, std::shared_ptr<UpstreamConnection> connection, TimePoint now);
+    std::string serialiseFor(const upstreams::Upstream& upstream, TimePoint now) const;
+    void ended(const AttemptPointer& attempt, ExchangeEnd end, const ExchangeAnswer* answer, TimePoint now);
+    void answered(const AttemptPointer& attempt, const ExchangeAnswer& answer, TimePoint now);
+    void detachSlowConnects(TimePoint now);
+
+    void answer(TimePoint now);
+    void refuse(TimePoint now);
+    void fail(TimePoint now);
+    void finish(const http::Response& response, std::string_view outcome, TimePoint now);
+    void callerGone(TimePoint now);
+
+    const ServiceId& serviceOf(std::size_t shard) const;
+    Duration typical() const;
+    dispatch::PlanRules planRules(TimePoint now) const;
+
+    Traffic& traffic_;
+    std::shared_ptr<CallerConnection> caller_;
+    http::RequestHead head_;
+    std::string body_;
+    std::string id_;
+    const TimePoint arrivedAt_;
+    std::shared_ptr<const routing::RouteTable> routes_;
+    const routing::Route& route_;
+    RouteHistory& history_;
+    /** Time that the caller gave this attempt. */
+    const Duration deadline_;
+    ServiceId single_;
+    std::optional<dispatch::RequestPlan> plan_;
+    std::vector<AttemptPointer> attempts_;
+    std::vector<Part> parts_;
+    std::optional<http::Response> result_;
+    /** Last answer of a replica that was no success, for requests to a single replica. */
+    std::optional<http::Response> failure_;
+    boost::asio::steady_timer timer_;
+    unsigned repeats_ = 0;
+    bool finished_ = false;
+    bool driving_ = false;
+};
+
+} // namespace banyancroft::gateway
--- /dev/null
+++ b/libs/gateway/src/traffic.cpp
@@ -0,0 +1,262 @@
+#include "traffic.h"
+
+#include "telemetry/log.h"
+#include "upstream_answer.h"
+
+#include <limits>
+
+namespace banyancroft::gateway {
+
+namespace {
+
+using telemetry::log;
+using telemetry::LogLevel;
+
+/** Part of a replica's connections that the VMs use together; the rest is for their changing number. */
+constexpr double usedConnections = 0.9;
+/** Part of a cold replica's rate that the VMs use together. */
+constexpr double usedColdRate = 0.8;
+
+std::string_view eventText(upstreams::RegistryEvent event)
+{
+    switch (event) {
+    case upstreams::RegistryEvent::Added:
+        return "upstream registered";
+    case upstreams::RegistryEvent::Restarted:
+        return "upstream restarted";
+    case upstreams::RegistryEvent::Draining:
+        return "upstream drains";
+    case upstreams::RegistryEvent::Removed:
+        return "upstream is gone";
+    }
+    return "upstream changed";
+}
+
+} // namespace
+
+TrafficMetrics::TrafficMetrics(telemetry::Metrics& metrics)
+    : requests(metrics.counter("banyancroft_gateway_requests_total", "Requests read"))
+    , served(metrics.counter("banyancroft_gateway_served_total", "Requests answered with a success"))
+    , partial(metrics.counter("banyancroft_gateway_partial_total", "Successes that lack shards"))
+    , refused(metrics.counter("banyancroft_gateway_refused_total", "Requests refused as not run"))
+    , failed(metrics.counter("banyancroft_gateway_failed_total", "Requests that failed and may have run"))
+    , callersGone(metrics.counter("banyancroft_gateway_callers_gone_total", "Callers that left early"))
+    , subRequests(metrics.counter("banyancroft_gateway_sub_requests_total", "Requests sent to replicas"))
+    , hedges(metrics.counter("banyancroft_gateway_hedges_total", "Second copies of unanswered requests"))
+    , retries(metrics.counter("banyancroft_gateway_retries_total", "Requests sent again after an end"))
+    , repeatsDenied(
+          metrics.counter("banyancroft_gateway_repeats_denied_total", "Repeats without retry budget"))
+    , upstreamRefusals(
+          metrics.counter("banyancroft_gateway_upstream_refusals_total", "Requests replicas did not run"))
+    , upstreamFailures(
+          metrics.counter("banyancroft_gateway_upstream_failures_total", "Requests without usable answer"))
+    , connections(metrics.counter("banyancroft_gateway_connections_total", "Connections opened to replicas"))
+    , droppedLines(metrics.counter("banyancroft_gateway_log_dropped_total", "Request lines not written"))
+    , answerSeconds(metrics.latency("banyancroft_gateway_answer_seconds", "First byte read to answer"))
+    , upstreamSeconds(
+          metrics.latency("banyancroft_gateway_upstream_seconds", "Request sent to answer of the replica"))
+{
+}
+
+Traffic::Traffic(boost::asio::io_context& ioContext, const Settings& settings, const Dialect& dialect,
+    telemetry::Metrics& metrics, TimePoint startedAt)
+    : ioContext_(ioContext)
+    , settings_(settings)
+    , dialect_(dialect)
+    , startedAt_(startedAt)
+    , metrics_(metrics)
+    , requestLog_(settings.requestLogRate, metrics_.droppedLines)
+    , registry_(settings.registrationReturn,
+          [this](upstreams::RegistryEvent event, const upstreams::Upstream& upstream) {
+              registryChanged(event, upstream);
+          })
+    , random_(std::random_device {}())
+{
+}
+
+Traffic::~Traffic() = default;
+
+void Traffic::registryChanged(upstreams::RegistryEvent event, const upstreams::Upstream& upstream)
+{
+    log(LogLevel::Info, "registry", eventText(event),
+        { { "upstream", upstream.record.id.str() }, { "service", upstream.record.service.str() },
+            { "address", upstream.record.address + ":" + std::to_string(upstream.record.port) },
+            { "zone", upstream.record.zone.str() }, { "sequence", std::to_string(upstream.record.sequence) },
+            { "started_ms", std::to_string(upstream.record.startedAtUnixMillis) } });
+}
+
+UpstreamPool& Traffic::pool(const upstreams::UpstreamPointer& upstream)
+{
+    auto& pool = pools_[upstream->number];
+    if (!pool)
+        pool = std::make_unique<UpstreamPool>(ioContext_, upstream, dialect_.headers.requestId);
+    return *pool;
+}
+
+dispatch::RetryBudget& Traffic::budget(const ServiceId& service)
+{
+    const auto found = budgets_.find(service);
+    if (found != budgets_.end())
+        return found->second;
+    return budgets_.emplace(service, dispatch::RetryBudget(settings_.retries, startedAt_)).first->second;
+}
+
+double Traffic::budgetLeft(const ServiceId& service, TimePoint now)
+{
+    /** Repeats that are plenty for a VM's traffic of a second or two. */
+    constexpr double plenty = 8;
+    return std::clamp(budget(service).available(now, liveVms_) / plenty, 0.0, 1.0);
+}
+
+double Traffic::coldShare(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const
+{
+    const auto* service = routes.service(upstream.record.service);
+    if (!service || service->coldRequestsPerSecond <= 0)
+        return std::numeric_limits<double>::infinity();
+    const double bears = service->coldRequestsPerSecond * settings_.coldOvershoot + settings_.coldSlack;
+    return usedColdRate * bears / liveVms_;
+}
+
+upstreams::Placement Traffic::place(const ServiceId& service, Duration typical,
+    std::span<const std::uint64_t> tried, const routing::RouteTable& routes, TimePoint now)
+{
+    const auto* declared = routes.service(service);
+    const double connections = declared ? declared->maxConnections : 1;
+    const auto limit
+        = std::max<std::size_t>(1, static_cast<std::size_t>(usedConnections * connections / liveVms_));
+    const auto candidates = registry_.upstreams(service);
+    upstreams::PlacementHooks hooks;
+    hooks.connectDelay = [&](const upstreams::Upstream& upstream) -> std::optional<Duration> {
+        const auto found = std::find_if(candidates.begin(), candidates.end(),
+            [&](const auto& candidate) { return candidate.get() == &upstream; });
+        auto& connectionPool = pool(*found);
+        connectionPool.setLimit(limit);
+        return connectionPool.connectDelay(now);
+    };
+    hooks.mayStart = [&](const upstreams::Upstream& upstream) {
+        return !upstream.isCold(now) || pacers_[upstream.number].mayStart(coldShare(upstream, routes), now);
+    };
+    hooks.random = [this] { return randomShare(); };
+    upstreams::PlacementRequest request;
+    request.typical = typical;
+    request.ownZone = settings_.zone;
+    request.tried = tried;
+    return upstreams::place(candidates, registry_, request, hooks, now);
+}
+
+void Traffic::noteEnd(const upstreams::UpstreamPointer& upstream, TimePoint sentAt, Duration typical,
+    ExchangeEnd end, const ExchangeAnswer* answer, TimePoint now)
+{
+    auto& health = upstream->health;
+    if (end == ExchangeEnd::Abandoned)
+        return health.forgotten(sentAt);
+    if (end == ExchangeEnd::TimedOut) {
+        metrics_.upstreamFailures.add();
+        return health.timedOut(sentAt, now);
+    }
+    if (!answer) {
+        metrics_.upstreamFailures.add();
+        return health.failed(sentAt, now);
+    }
+    const auto& fields = answer->head.fields;
+    if (const auto text = fields.find(dialect_.headers.load)) {
+        if (const auto load = dialect_.parseLoad(*text))
+            health.reported(*load, now);
+    }
+    if (const auto cold = fields.find(dialect_.headers.coldMillis)) {
+        if (const auto millis = http::parseNumber(*cold))
+            upstream->coldUntil = now + std::chrono::milliseconds(*millis);
+    }
+    switch (classify(answer->head, dialect_)) {
+    case AnswerKind::Result:
+        metrics_.upstreamSeconds.record(now - sentAt);
+        return health.answered(sentAt, now, typical);
+    case AnswerKind::Misdirected:
+        // Until the registration changes, the address belongs to another replica.
+        upstream->misdirected = true;
+        metrics_.upstreamRefusals.add();
+        log(LogLevel::Warn, "registry", "another replica has the address",
+            { { "upstream", upstream->record.id.str() }, { "address", upstream->record.address } });
+        return health.refused(sentAt, now);
+    case AnswerKind::Refused:
+        metrics_.upstreamRefusals.add();
+        return health.refused(sentAt, now);
+    case AnswerKind::Failure:
+        metrics_.upstreamFailures.add();
+        return health.failed(sentAt, now);
+    }
+}
+
+void Traffic::noteStart(const upstreams::Upstream& upstream, TimePoint now)
+{
+    if (upstream.isCold(now))
+        pacers_[upstream.number].started(now);
+}
+
+void Traffic::tick(TimePoint now)
+{
+    registry_.expire(now);
+    for (auto& [number, connectionPool] : pools_)
+        connectionPool->expire(now);
+    trySilentReplicas(now);
+}
+
+void Traffic::trySilentReplicas(TimePoint now)
+{
+    const auto routes = configuration_.current();
+    if (!routes)
+        return;
+    std::unordered_map<std::uint64_t, bool> listed;
+    for (const auto& service : routes->configuration().services) {
+        for (const auto& upstream : registry_.upstreams(service.id)) {
+            listed[upstream->number] = true;
+            auto& connectionPool = pool(upstream);
+            const bool due = upstream->health.needsTrial(now) && now >= upstream->health.nextTrial();
+            if (!due || connectionPool.isConnecting())
+                continue;
+            upstream->health.trialStarted(now);
+            metrics_.connections.add();
+            connectionPool.connect(now, [this, upstream](auto connection) {
+                const bool reached = connection != nullptr;
+                log(LogLevel::Info, "health",
+                    reached ? "silent upstream takes connections" : "upstream is silent",
+                    { { "upstream", upstream->record.id.str() },
+                        { "outstanding", std::to_string(upstream->health.outstanding()) } });
+                // More than one idle connection would only wait for its timeout.
+                auto& ownPool = pool(upstream);
+                if (reached && ownPool.hasIdle()) {
+                    connection->abandon();
+                } else if (reached) {
+                    ownPool.putBack(connection);
+                }
+            });
+        }
+    }
+    std::erase_if(pools_, [&listed](const auto& entry) {
+        if (listed.contains(entry.first))
+            return false;
+        entry.second->retire();
+        return entry.second->isUnused();
+    });
+    std::erase_if(pacers_, [&listed](const auto& entry) { return !listed.contains(entry.first); });
+}
+
+std::pair<std::size_t, std::size_t> Traffic::reachableServices(TimePoint now) const
+{
+    const auto routes = configuration_.current();
+    if (!routes)
+        return { 0, 0 };
+    std::size_t services = 0;
+    std::size_t reachable = 0;
+    for (const auto& service : routes->configuration().services) {
+        const auto candidates = registry_.upstreams(service.id);
+        if (candidates.empty())
+            continue;
+        ++services;
+        reachable += std::any_of(candidates.begin(), candidates.end(),
+            [now](const auto& upstream) { return !upstream->health.isSuspect(now); });
+    }
+    return { services, reachable };
+}
+
+} // namespace banyancroft::gateway
--- /dev/null
+++ b/libs/gateway/src/traffic.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "dispatch/hedge_delay.h"
+#include "dispatch/retry_budget.h"
+#include "gateway/dialect.h"
+#include "gateway/settings.h"
+#include "request_log.h"
+#include "routing/configuration_keeper.h"
+#include "telemetry/metrics.h"
+#include "upstream_pool.h"
+#include "upstreams/placement.h"
+#include "upstreams/registry.h"
+#include "upstreams/start_pacer.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace banyancroft::gateway {
+
+/** Counters and histograms of the gateway. */
+struct TrafficMetrics {
+    explicit TrafficMetrics(telemetry::Metrics& metrics);
+
+    telemetry::Counter& requests;
+    telemetry::Counter& served;
+    telemetry::Counter& partial;
+    telemetry::Counter& refused;
+    telemetry::Counter& failed;
+    telemetry::Counter& callersGone;
+    telemetry::Counter& subRequests;
+    telemetry::Counter& hedges;
+    telemetry::Counter& retries;
+    telemetry::Counter& repeatsDenied;
+    telemetry::Counter& upstreamRefusals;
+    telemetry::Counter& upstreamFailures;
+    telemetry::Counter& connections;
+    telemetry::Counter& droppedLines;
+    telemetry::LatencyHistogram& answerSeconds;
+    telemetry::LatencyHistogram& upstreamSeconds;
+};
+
+/** What is remembered of a route between requests. */
+struct RouteHistory {
+    dispatch::AnswerTimes times;
+    /** Longest time that a caller gave a request: that of its first attempt. */
+    Duration longestDeadline {};
+};
+
+/**
+ * State that the requests of one VM share: replicas and their connections, configuration, retry budgets
+ * and answer times. Used on the traffic thread only.
+ */
+class Traffic {
+public:
+    Traffic(boost::asio::io_context& ioContext, const Settings& settings, const Dialect& dialect,
+        telemetry::Metrics& metrics, TimePoint startedAt);
+    ~Traffic();
+    Traffic(const Traffic&) = delete;
+    Traffic& operator=(const Traffic&) = delete;
+
+    upstreams::Registry& registry() { return registry_; }
+    routing::ConfigurationKeeper& configuration() { return configuration_; }
+    const routing::ConfigurationKeeper& configuration() const { return configuration_; }
+    const Dialect& dialect() const { return dialect_; }
+    const Settings& settings() const { return settings_; }
+    TrafficMetrics& metrics() { return metrics_; }
+    RequestLog& requestLog() { return requestLog_; }
+    boost::asio::io_context& ioContext() { return ioContext_; }
+
+    UpstreamPool& pool(const upstreams::UpstreamPointer& upstream);
+    dispatch::RetryBudget& budget(const ServiceId& service);
+    RouteHistory& history(const std::string& route) { return histories_[route]; }
+    double randomShare() { return uniform_(random_); }
+
+    upstreams::Placement place(const ServiceId& service, Duration typical,
+        std::span<const std::uint64_t> tried, const routing::RouteTable& routes, TimePoint now);
+    /** Learns from the end of a request at a replica. @param typical usual answer time of such a request */
+    void noteEnd(const upstreams::UpstreamPointer& upstream, TimePoint sentAt, Duration typical,
+        ExchangeEnd end, const ExchangeAnswer* answer, TimePoint now);
+    /** Counts a request that goes to a cold replica. */
+    void noteStart(const upstreams::Upstream& upstream, TimePoint now);
+    /** Share of the retry budget of a service that is unspent, 0 to 1. */
+    double budgetLeft(const ServiceId& service, TimePoint now);
+
+    /** Live VMs that share limits with this one, itself included. */
+    void setLiveVms(unsigned vms) { liveVms_ = std::max(1U, vms); }
+    unsigned liveVms() const { return liveVms_; }
+
+    /** Ends overdue work and tries silent replicas; to be called every few hundred milliseconds. */
+    void tick(TimePoint now);
+    /** Services of the configuration's routes, and how many of them have a replica that seems alive. */
+    std::pair<std::size_t, std::size_t> reachableServices(TimePoint now) const;
+
+private:
+    void trySilentReplicas(TimePoint now);
+    double coldShare(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const;
+    void registryChanged(upstreams::RegistryEvent event, const upstreams::Upstream& upstream);
+
+    boost::asio::io_context& ioContext_;
+    const Settings settings_;
+    const Dialect dialect_;
+    const TimePoint startedAt_;
+    TrafficMetrics metrics_;
+    RequestLog requestLog_;
+    upstreams::Registry registry_;
+    routing::ConfigurationKeeper configuration_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<UpstreamPool>> pools_;
+    std::unordered_map<std::uint64_t, upstreams::StartPacer> pacers_;
+    std::unordered_map<ServiceId, dispatch::RetryBudget> budgets_;
+    std::map<std::string, RouteHistory> histories_;
+    std::mt19937_64 random_;
+    std::uniform_real_distribution<double> uniform_ { 0, 1 };
+    unsigned liveVms_ = 1;
+};
+
+} // namespace banyancroft::gateway
--- /dev/null
+++ b/libs/gateway/src/upstream_answer.cpp
@@ -0,0 +1,61 @@
+#include "upstream_answer.h"
+
+#include <algorithm>
+#include <array>
+
+namespace banyancroft::gateway {
+
+namespace {
+
+constexpr unsigned statusMisdirected = 421;
+constexpr unsigned statusBadGateway = 502;
+/** Statuses that promise a caller that its request has not run. */
+constexpr std::array<unsigned, 4> promisingStatuses { 408, 421, 429, 503 };
+
+bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
+
+} // namespace
+
+AnswerKind classify(const http::ResponseHead& head, const Dialect& dialect)
+{
+    if (head.status == statusMisdirected)
+        return AnswerKind::Misdirected;
+    if (!isSuccess(head.status) && head.fields.find(dialect.headers.notExecuted))
+        return AnswerKind::Refused;
+    const auto signature = head.fields.find(dialect.headers.signature);
+    // Encoded bytes are not those that the replica signed.
+    const bool isResult
+        = isSuccess(head.status) && signature && !signature->empty() && !head.fields.find("content-encoding");
+    return isResult ? AnswerKind::Result : AnswerKind::Failure;
+}
+
+http::Response passOn(const http::ResponseHead& head, std::string body, const Dialect& dialect)
+{
+    http::Response response;
+    const bool promises = std::find(promisingStatuses.begin(), promisingStatuses.end(), head.status)
+        != promisingStatuses.end();
+    const bool encoded = head.fields.find("content-encoding").has_value();
+    const bool unsignedResult = isSuccess(head.status) && !head.fields.find(dialect.headers.signature);
+    if (promises || encoded || unsignedResult) {
+        response.status = statusBadGateway;
+        return response;
+    }
+    response.status = head.status;
+    const auto& names = dialect.headers;
+    const std::array<std::string_view, 4> internal { names.load, names.upstreamId, names.coldMillis,
+        names.notExecuted };
+    for (std::size_t i = 0; i < head.fields.size(); ++i) {
+        const auto field = head.fields.at(i);
+        const bool isInternal = std::any_of(internal.begin(), internal.end(),
+            [&](std::string_view name) { return http::equalsIgnoringCase(name, field.name); });
+        if (isInternal || http::isHopByHop(field.name)
+            || http::equalsIgnoringCase(field.name, "content-length")
+            || http::isNamedByConnection(head.fields, field.name))
+            continue;
+        response.fields.emplace_back(field.name, field.value);
+    }
+    response.body = std::move(body);
+    return response;
+}
+
+} // namespace banyancroft::gateway
--- /dev/null
+++ b/libs/gateway/src/upstream_connection.cpp
@@ -0,0 +1,192 @@
+#include "upstream_connection.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+namespace banyancroft::gateway {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/** An idle connection is given up this long before the replica closes it, for the request's way there. */
+constexpr Duration idleMargin = std::chrono::milliseconds(300);
+/** Longest answer of a replica that is read. */
+constexpr std::size_t longestBody = 8 * 1024 * 1024;
+
+} // namespace
+
+UpstreamConnection::UpstreamConnection(
+    boost::asio::io_context& ioContext, std::string requestIdField, Hooks hooks)
+    : socket_(ioContext)
+    , requestIdField_(std::move(requestIdField))
+    , hooks_(std::move(hooks))
+    , reader_(http::MessageReader::Kind::Response, { 64 * 1024, longestBody })
+{
+}
+
+void UpstreamConnection::connect(
+    const tcp::endpoint& upstream, TimePoint deadline, std::function<void(const error_code&)> handler)
+{
+    connectHandler_ = std::move(handler);
+    connectDeadline_ = deadline;
+    socket_.async_connect(upstream, [self = shared_from_this()](const error_code& failure) {
+        if (self->closed_)
+            return;
+        if (failure) {
+            self->closed_ = true;
+            self->hooks_.closed(*self);
+        } else {
+            self->open_ = true;
+            error_code ignored;
+            // Without the option answers only take longer.
+            self->socket_.set_option(tcp::no_delay(true), ignored);
+            self->socket_.non_blocking(true, ignored);
+            self->read();
+        }
+        if (const auto connected = std::exchange(self->connectHandler_, nullptr))
+            connected(failure);
+    });
+}
+
+void UpstreamConnection::send(Exchange exchange, ExchangeHandler handler)
+{
+    exchange_ = std::move(exchange);
+    handler_ = std::move(handler);
+    reader_.begin(exchange_->withoutBody);
+    outbox_ = std::move(exchange_->bytes);
+    written_ = 0;
+    write();
+}
+
+void UpstreamConnection::write()
+{
+    error_code failure;
+    written_ += socket_.write_some(
+        boost::asio::buffer(outbox_.data() + written_, outbox_.size() - written_), failure);
+    if (failure && failure != boost::asio::error::would_block) {
+        boost::asio::post(
+            socket_.get_executor(), [self = shared_from_this()] { self->closeWith(ExchangeEnd::Broken); });
+        return;
+    }
+    if (written_ == outbox_.size())
+        return;
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const error_code& waitFailure) {
+        if (!waitFailure && !self->closed_ && self->exchange_)
+            self->write();
+    });
+}
+
+void UpstreamConnection::read()
+{
+    socket_.async_read_some(boost::asio::buffer(chunk_),
+        [self = shared_from_this()](const error_code& failure, std::size_t count) {
+            if (self->closed_)
+                return;
+            if (!failure)
+                return self->received(count);
+            // An answer without a length ends with the connection, unless the connection was reset.
+            if (failure == boost::asio::error::eof && self->exchange_
+                && self->reader_.end() == http::ReadState::Complete) {
+                return self->complete();
+            }
+            self->closeWith(ExchangeEnd::Broken);
+        });
+}
+
+void UpstreamConnection::received(std::size_t count)
+{
+    inbox_.append(chunk_.data(), count);
+    // Bytes that arrive while no request waits belong to no request.
+    if (!exchange_)
+        return closeWith(ExchangeEnd::Malformed);
+    while (exchange_ && !closed_ && !inbox_.empty()) {
+        std::size_t consumed = 0;
+        const auto state = reader_.read(inbox_, consumed);
+        inbox_.erase(0, consumed);
+        if (state == http::ReadState::Incomplete)
+            break;
+        if (state != http::ReadState::Complete)
+            return closeWith(ExchangeEnd::Malformed);
+        const auto answered = reader_.response().fields.find(requestIdField_);
+        if (answered && *answered != exchange_->requestId) {
+            // A second answer to an earlier request; the present one follows.
+            reader_.begin(exchange_->withoutBody);
+            continue;
+        }
+        return complete();
+    }
+    if (!closed_)
+        read();
+}
+
+void UpstreamConnection::complete()
+{
+    const bool reusable = inbox_.empty() && written_ == outbox_.size() && reader_.response().hasFraming
+        && reader_.keepsAlive();
+    noteIdleTimeout();
+    const auto self = shared_from_this();
+    if (!reusable) {
+        closed_ = true;
+        open_ = false;
+        error_code ignored;
+        socket_.close(ignored);
+    }
+    const ExchangeAnswer answer { reader_.response(), reader_.body() };
+    finish(ExchangeEnd::Answer, &answer);
+    if (closed_)
+        return hooks_.closed(*this);
+    hooks_.idle(*this);
+    if (!closed_)
+        read();
+}
+
+void UpstreamConnection::noteIdleTimeout()
+{
+    const auto field = reader_.response().fields.find("keep-alive");
+    if (!field)
+        return;
+    constexpr std::string_view key = "timeout=";
+    const auto at = field->find(key);
+    if (at == std::string_view::npos)
+        return;
+    const auto digits = field->substr(at + key.size());
+    const auto seconds = http::parseNumber(digits.substr(0, digits.find_first_not_of("0123456789")));
+    if (seconds)
+        idleUntil_ = hooks_.now() + std::chrono::seconds(*seconds) - idleMargin;
+}
+
+void UpstreamConnection::finish(ExchangeEnd end, const ExchangeAnswer* answer)
+{
+    exchange_.reset();
+    if (const auto handler = std::exchange(handler_, nullptr))
+        handler(end, answer);
+}
+
+void UpstreamConnection::closeWith(ExchangeEnd end)
+{
+    if (closed_)
+        return;
+    const auto self = shared_from_this();
+    closed_ = true;
+    open_ = false;
+    error_code ignored;
+    socket_.close(ignored);
+    hooks_.closed(*this);
+    if (const auto connected = std::exchange(connectHandler_, nullptr))
+        connected(boost::asio::error::timed_out);
+    finish(end, nullptr);
+}
+
+void UpstreamConnection::expire(TimePoint now)
+{
+    if (!open_ && !closed_ && now >= connectDeadline_)
+        return closeWith(ExchangeEnd::TimedOut);
+    if (exchange_ && now >= exchange_->deadline)
+        closeWith(ExchangeEnd::TimedOut);
+}
+
+void UpstreamConnection::abandon() { closeWith(ExchangeEnd::Abandoned); }
+
+} // namespace banyancroft::gateway
--- /dev/null
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -0,0 +1,119 @@
+#include "upstream_pool.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+
+namespace banyancroft::gateway {
+
+namespace {
+
+/** A replica that does not take a connection in this time is taken to be unreachable. */
+constexpr Duration connectTimeout = std::chrono::milliseconds(150);
+/** Assumed time to open a connection before one was opened. */
+constexpr Duration unknownHandshake = std::chrono::milliseconds(5);
+
+} // namespace
+
+UpstreamPool::UpstreamPool(
+    boost::asio::io_context& ioContext, upstreams::UpstreamPointer upstream, std::string requestIdField)
+    : ioContext_(ioContext)
+    , upstream_(std::move(upstream))
+    , requestIdField_(std::move(requestIdField))
+    , handshake_(unknownHandshake)
+{
+}
+
+UpstreamPool::~UpstreamPool()
+{
+    const auto open = connections_;
+    for (const auto& connection : open)
+        connection->abandon();
+}
+
+std::optional<Duration> UpstreamPool::connectDelay(TimePoint now) const
+{
+    const bool hasIdle = std::any_of(
+        idle_.begin(), idle_.end(), [now](const auto& connection) { return connection->isFresh(now); });
+    if (hasIdle)
+        return Duration::zero();
+    if (connections_.size() - idle_.size() >= limit_)
+        return std::nullopt;
+    return handshake_;
+}
+
+std::shared_ptr<UpstreamConnection> UpstreamPool::takeIdle(TimePoint now)
+{
+    while (!idle_.empty()) {
+        auto connection = idle_.back();
+        idle_.pop_back();
+        if (connection->isOpen() && connection->isFresh(now))
+            return connection;
+        connection->abandon();
+    }
+    return nullptr;
+}
+
+void UpstreamPool::connect(TimePoint now, Connected handler)
+{
+    UpstreamConnection::Hooks hooks;
+    hooks.idle = [this](UpstreamConnection& connection) { putBack(connection.shared_from_this()); };
+    hooks.closed = [this](UpstreamConnection& connection) { remove(connection); };
+    hooks.now = [] { return BootClock::now(); };
+    auto connection = std::make_shared<UpstreamConnection>(ioContext_, requestIdField_, std::move(hooks));
+    connections_.push_back(connection);
+    ++connecting_;
+    ++opened_;
+    boost::system::error_code ignored;
+    // The address was checked when the registration was decoded.
+    const auto address = boost::asio::ip::make_address(upstream_->record.address, ignored);
+    connection->connect({ address, upstream_->record.port }, now + connectTimeout,
+        [this, connection, started = now, handler = std::move(handler)](
+            const boost::system::error_code& failure) {
+            --connecting_;
+            const auto at = BootClock::now();
+            if (failure) {
+                upstream_->health.connectFailed(failure == boost::asio::error::connection_refused, at);
+                return handler(nullptr);
+            }
+            upstream_->health.connected(at);
+            handshake_ = (handshake_ * 3 + (at - started)) / 4;
+            handler(connection);
+        });
+}
+
+void UpstreamPool::putBack(const std::shared_ptr<UpstreamConnection>& connection)
+{
+    if (retired_)
+        return connection->abandon();
+    idle_.push_back(connection);
+}
+
+void UpstreamPool::remove(UpstreamConnection& connection)
+{
+    const auto isSame = [&connection](const auto& entry) { return entry.get() == &connection; };
+    idle_.erase(std::remove_if(idle_.begin(), idle_.end(), isSame), idle_.end());
+    connections_.erase(std::remove_if(connections_.begin(), connections_.end(), isSame), connections_.end());
+}
+
+void UpstreamPool::expire(TimePoint now)
+{
+    const auto all = connections_;
+    for (const auto& connection : all)
+        connection->expire(now);
+    const auto idle = idle_;
+    for (const auto& connection : idle) {
+        if (!connection->isFresh(now))
+            connection->abandon();
+    }
+}
+
+void UpstreamPool::retire()
+{
+    retired_ = true;
+    const auto idle = idle_;
+    for (const auto& connection : idle)
+        connection->abandon();
+}
+
+} // namespace banyancroft::gateway
--- /dev/null
+++ b/libs/http/include/http/head.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace banyancroft::http {
+
+/** One header field; the views point into its FieldList. */
+struct Field {
+    std::string_view name;
+    std::string_view value;
+};
+
+/** Header fields of one message in flat storage that is reused between messages. */
+class FieldList {
+public:
+    void clear();
+    void add(std::string_view name, std::string_view value);
+
+    std::size_t size() const { return spans_.size(); }
+    Field at(std::size_t index) const;
+    /** First value of a field, its name compared without regard to case; empty when it is missing. */
+    std::optional<std::string_view> find(std::string_view name) const;
+
+private:
+    struct Span {
+        std::uint32_t begin = 0;
+        std::uint32_t nameLength = 0;
+        std::uint32_t valueLength = 0;
+    };
+
+    std::string text_;
+    std::vector<Span> spans_;
+};
+
+/** True for fields that concern one connection only and are never passed on. */
+bool isHopByHop(std::string_view name);
+
+/** True when the message's Connection field names this field as one of its connection only. */
+bool isNamedByConnection(const FieldList& fields, std::string_view name);
+
+/** Compares ASCII text without regard to case. */
+bool equalsIgnoringCase(std::string_view left, std::string_view right);
+
+/** A whole decimal number; empty for anything else and for numbers over 18 digits. */
+std::optional<std::uint64_t> parseNumber(std::string_view text);
+
+} // namespace banyancroft::http
--- /dev/null
+++ b/libs/routing/src/configuration_keeper.cpp
@@ -0,0 +1,19 @@
+#include "routing/configuration_keeper.h"
+
+namespace banyancroft::routing {
+
+bool ConfigurationKeeper::offer(Configuration configuration, TimePoint now)
+{
+    if (current_ && configuration.version <= version())
+        return false;
+    current_ = std::make_shared<const RouteTable>(std::move(configuration));
+    acceptedAt_ = now;
+    return true;
+}
+
+ConfigVersion ConfigurationKeeper::version() const
+{
+    return current_ ? current_->configuration().version : ConfigVersion {};
+}
+
+} // namespace banyancroft::routing
--- /dev/null
+++ b/libs/routing/src/route_table.cpp
@@ -0,0 +1,90 @@
+#include "routing/route_table.h"
+
+#include "base/string_map.h"
+
+#include <algorithm>
+
+namespace banyancroft::routing {
+
+namespace {
+
+/** Host names are compared without regard to case and port. */
+std::string normalisedHost(std::string_view host)
+{
+    std::string result(host.substr(0, host.find(':')));
+    std::transform(result.begin(), result.end(), result.begin(),
+        [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return result;
+}
+
+} // namespace
+
+class RouteTable::Impl {
+public:
+    explicit Impl(Configuration configuration)
+        : configuration_(std::move(configuration))
+    {
+        for (const auto& route : configuration_.routes)
+            routes_.emplace(normalisedHost(route.host) + route.pathPrefix, &route);
+        for (const auto& service : configuration_.services)
+            services_.emplace(service.id.str(), &service);
+    }
+
+    Configuration configuration_;
+    /** Key: host followed by the path prefix. */
+    StringMap<const Route*> routes_;
+    StringMap<const Service*> services_;
+};
+
+RouteTable::RouteTable(Configuration configuration)
+    : impl_(std::make_unique<Impl>(std::move(configuration)))
+{
+}
+
+RouteTable::~RouteTable() = default;
+
+const Route* RouteTable::match(std::string_view host, std::string_view target) const
+{
+    const auto path = target.substr(0, target.find_first_of("?#"));
+    std::string key = normalisedHost(host);
+    const auto hostLength = key.size();
+    key.append(path);
+    // Prefixes end with a slash, so only the parts of the path up to a slash are candidates.
+    for (auto end = key.find_last_of('/'); end != std::string::npos && end >= hostLength;
+         end = end == 0 ? std::string::npos : key.find_last_of('/', end - 1)) {
+        const auto found = impl_->routes_.find(std::string_view(key).substr(0, end + 1));
+        if (found != impl_->routes_.end())
+            return found->second;
+    }
+    return nullptr;
+}
+
+const Configuration& RouteTable::configuration() const { return impl_->configuration_; }
+
+const Service* RouteTable::service(const ServiceId& id) const
+{
+    const auto found = impl_->services_.find(id.view());
+    return found == impl_->services_.end() ? nullptr : found->second;
+}
+
+const ServiceId* pickService(const Route& route, double draw)
+{
+    double total = 0;
+    for (const auto& entry : route.split)
+        total += entry.weight;
+    if (total <= 0)
+        return nullptr;
+    double left = draw * total;
+    const ServiceId* last = nullptr;
+    for (const auto& entry : route.split) {
+        if (entry.weight <= 0)
+            continue;
+        last = &entry.service;
+        left -= entry.weight;
+        if (left < 0)
+            break;
+    }
+    return last;
+}
+
+} // namespace banyancroft::routing
--- a/libs/store/include/store/http_client.h
+++ b/libs/store/include/store/http_client.h
@@ -59,7 +59,7 @@
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
 
-    /** @param method "POST" or "GET" @param timeout from now to the last byte of the answer */
+    /** @param method "POST", "GET" or "DELETE" @param timeout from now to the last byte of the answer */
     void call(std::string_view method, std::string_view target, std::string body, Duration timeout,
         Handler handler, const Headers& headers = {});
 
--- a/libs/store/src/http_client.cpp
+++ b/libs/store/src/http_client.cpp
@@ -53,7 +53,7 @@
         std::string_view method, std::string_view target, std::string body, const Headers& headers) const
     {
         http::request<http::string_body> request(
-            method == "GET" ? http::verb::get : http::verb::post, { target.data(), target.size() }, 11);
+            http::string_to_verb({ method.data(), method.size() }), { target.data(), target.size() }, 11);
         request.set(http::field::host, options_.address + ":" + std::to_string(options_.port));
         request.set(http::field::content_type, "application/json");
         for (const auto& [name, value] : options_.headers)
--- a/libs/telemetry/include/telemetry/log.h
+++ b/libs/telemetry/include/telemetry/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <initializer_list>
 #include <optional>
 #include <string>
@@ -30,6 +31,16 @@
  */
 void setUpLogging(LogLevel level, std::string_view vm);
 
+/**
+ * As setUpLogging(), but lines go to standard output through a bounded buffer: flushLog() writes what the
+ * output takes at once and never waits. Lines that do not fit are counted and told later.
+ * @param bufferBytes most bytes that wait to be written
+ */
+void setUpBufferedLogging(LogLevel level, std::string_view vm, std::size_t bufferBytes);
+
+/** Writes buffered lines as far as standard output takes them without waiting. */
+void flushLog();
+
 /**
  * Writes one line: time, level, component, message and fields as key=value. Thread-safe.
  *
--- a/libs/telemetry/src/log.cpp
+++ b/libs/telemetry/src/log.cpp
@@ -6,6 +6,9 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <memory>
 
@@ -16,6 +19,59 @@
 std::atomic<LogLevel> currentLevel { LogLevel::Info };
 std::atomic<bool> isSetUp { false };
 
+/** Collects lines for standard output and drops those that do not fit; used by one thread. */
+class BufferedAppender : public log4cplus::Appender {
+public:
+    explicit BufferedAppender(std::size_t capacity)
+        : capacity_(capacity)
+    {
+        // A reader that stands still must not stop the process.
+        const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+
+    ~BufferedAppender() override { destructorImpl(); }
+
+    void close() override
+    {
+        flush();
+        closed = true;
+    }
+
+    void flush()
+    {
+        if (dropped_ > 0 && pending_.size() < capacity_ / 2) {
+            pending_.append("msg=\"log lines were dropped\" lines=" + std::to_string(dropped_) + "\n");
+            dropped_ = 0;
+        }
+        while (!pending_.empty()) {
+            const auto count = ::write(STDOUT_FILENO, pending_.data(), pending_.size());
+            if (count <= 0)
+                return;
+            pending_.erase(0, static_cast<std::size_t>(count));
+        }
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        const auto& line = formatEvent(event);
+        if (pending_.size() + line.size() > capacity_) {
+            ++dropped_;
+            return;
+        }
+        pending_.append(LOG4CPLUS_TSTRING_TO_STRING(line));
+    }
+
+private:
+    const std::size_t capacity_;
+    std::string pending_;
+    std::uint64_t dropped_ = 0;
+};
+
+/** Owned by log4cplus. */
+BufferedAppender* buffered = nullptr;
+
 log4cplus::LogLevel toLog4cplus(LogLevel level)
 {
     switch (level) {
@@ -51,6 +107,29 @@
 
 } // namespace
 
+namespace {
+
+void initialise() { static log4cplus::Initializer initializer; }
+
+std::string linePattern(std::string_view vm)
+{
+    return "%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p vm=" + std::string(vm) + " component=%c %m%n";
+}
+
+void useAppender(LogLevel level, std::string_view vm, const log4cplus::SharedAppenderPtr& appender)
+{
+    appender->setLayout(
+        std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_STRING_TO_TSTRING(linePattern(vm))));
+    auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(appender);
+    root.setLogLevel(toLog4cplus(level));
+    currentLevel = level;
+    isSetUp = true;
+}
+
+} // namespace
+
 std::optional<LogLevel> logLevelFromString(std::string_view text)
 {
     if (text == "debug")
@@ -66,17 +145,21 @@
 
 void setUpLogging(LogLevel level, std::string_view vm)
 {
-    static log4cplus::Initializer initializer;
-    auto appender = log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true));
-    const std::string pattern
-        = "%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p vm=" + std::string(vm) + " component=%c %m%n";
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_STRING_TO_TSTRING(pattern)));
-    auto root = log4cplus::Logger::getRoot();
-    root.removeAllAppenders();
-    root.addAppender(appender);
-    root.setLogLevel(toLog4cplus(level));
-    currentLevel = level;
-    isSetUp = true;
+    initialise();
+    useAppender(level, vm, log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)));
+}
+
+void setUpBufferedLogging(LogLevel level, std::string_view vm, std::size_t bufferBytes)
+{
+    initialise();
+    buffered = new BufferedAppender(bufferBytes);
+    useAppender(level, vm, log4cplus::SharedAppenderPtr(buffered));
+}
+
+void flushLog()
+{
+    if (buffered)
+        buffered->flush();
 }
 
 bool logEnabled(LogLevel level) { return isSetUp && level >= currentLevel; }
--- /dev/null
+++ b/libs/upstreams/include/upstreams/start_pacer.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <deque>
+
+namespace banyancroft::upstreams {
+
+/**
+ * Limits the requests that this VM sends to one cold replica in any second.
+ * Owned by the traffic thread.
+ */
+class StartPacer {
+public:
+    /** @param perSecond this VM's share of what the replica bears  @return true when one more may go now */
+    bool mayStart(double perSecond, TimePoint now)
+    {
+        while (!starts_.empty() && now - starts_.front() >= window)
+            starts_.pop_front();
+        return static_cast<double>(starts_.size()) + 1 <= perSecond;
+    }
+
+    void started(TimePoint now) { starts_.push_back(now); }
+
+private:
+    /** The limit holds in any second; the rest is for the spread of delays on the way. */
+    static constexpr Duration window = std::chrono::milliseconds(1100);
+
+    std::deque<TimePoint> starts_;
+};
+
+} // namespace banyancroft::upstreams
--- /dev/null
+++ b/libs/upstreams/src/placement.cpp
@@ -0,0 +1,64 @@
+#include "upstreams/placement.h"
+
+#include <algorithm>
+
+namespace banyancroft::upstreams {
+
+namespace {
+
+/** Surcharge for another availability zone in usual answer times: its link delay and priced bytes. */
+constexpr double otherZoneCost = 0.4;
+/** Random part of the score in usual answer times, so that VMs with equal knowledge spread out. */
+constexpr double spread = 0.3;
+/** Replicas that seem dead or were tried before are used only when nothing else is left. */
+constexpr Duration lastResort = std::chrono::seconds(30);
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+} // namespace
+
+Placement place(std::span<const UpstreamPointer> candidates, const Registry& registry,
+    const PlacementRequest& request, const PlacementHooks& hooks, TimePoint now)
+{
+    Placement best;
+    Duration bestScore = Duration::max();
+    for (const auto& upstream : candidates) {
+        if (!upstream->usable || upstream->misdirected || registry.isZoneOut(upstream->record.zone))
+            continue;
+        const bool tried
+            = std::find(request.tried.begin(), request.tried.end(), upstream->number) != request.tried.end();
+        if (tried && !request.mayRepeatReplica)
+            continue;
+        const auto& health = upstream->health;
+        const bool suspect = health.isSuspect(now);
+        if (suspect && now < health.nextTrial())
+            continue;
+        const auto expected = health.expectedDelay(upstream->record.slots, request.typical, now);
+        auto score = expected + scaled(request.typical, spread * hooks.random());
+        if (upstream->record.zone != request.ownZone)
+            score += scaled(request.typical, otherZoneCost);
+        if (tried || suspect)
+            score += lastResort;
+        if (score >= bestScore)
+            continue;
+        const auto connectDelay = hooks.connectDelay(*upstream);
+        if (!connectDelay) {
+            best.waitsForConnection = true;
+            continue;
+        }
+        score += *connectDelay;
+        if (score >= bestScore)
+            continue;
+        if (!hooks.mayStart(*upstream))
+            continue;
+        bestScore = score;
+        best.upstream = upstream;
+        best.expectedDelay = expected;
+    }
+    return best;
+}
+
+} // namespace banyancroft::upstreams
--- /dev/null
+++ b/libs/upstreams/src/registry.cpp
@@ -0,0 +1,181 @@
+#include "upstreams/registry.h"
+
+#include "base/string_map.h"
+
+#include <algorithm>
+
+namespace banyancroft::upstreams {
+
+class Registry::Impl {
+public:
+    Impl(Duration returnGrace, Listener listener)
+        : returnGrace_(returnGrace)
+        , listener_(std::move(listener))
+    {
+    }
+
+    void put(const UpstreamRecord& record, TimePoint now)
+    {
+        doomed_.erase(record.id.str());
+        const auto found = byId_.find(record.id.str());
+        if (found == byId_.end()) {
+            add(record, RegistryEvent::Added, now);
+            return;
+        }
+        const auto known = found->second;
+        if (isOlder(record, known->record))
+            return;
+        if (isNewStart(record, known->record)) {
+            retire(known);
+            add(record, RegistryEvent::Restarted, now);
+            return;
+        }
+        const bool drainsNow = record.draining && !known->record.draining;
+        if (known->record.sequence != record.sequence)
+            known->misdirected = false;
+        known->record = record;
+        known->usable = !record.draining;
+        if (drainsNow) {
+            unlist(known);
+            listener_(RegistryEvent::Draining, *known);
+        }
+    }
+
+    void remove(const UpstreamId& id, TimePoint now)
+    {
+        const auto found = byId_.find(id.str());
+        if (found == byId_.end())
+            return;
+        if (now < graceUntil_) {
+            doomed_.insert(id.str());
+            return;
+        }
+        drop(found->second);
+    }
+
+    void applyListing(std::span<const UpstreamRecord> records, TimePoint now)
+    {
+        std::set<std::string_view> listed;
+        for (const auto& record : records) {
+            listed.insert(record.id.view());
+            put(record, now);
+        }
+        std::vector<UpstreamId> missing;
+        for (const auto& [id, upstream] : byId_) {
+            if (!listed.contains(id))
+                missing.push_back(upstream->record.id);
+        }
+        for (const auto& id : missing)
+            remove(id, now);
+    }
+
+    void expire(TimePoint now)
+    {
+        if (now < graceUntil_ || doomed_.empty())
+            return;
+        const auto due = std::exchange(doomed_, {});
+        for (const auto& id : due) {
+            if (const auto found = byId_.find(id); found != byId_.end())
+                drop(found->second);
+        }
+    }
+
+    std::span<const UpstreamPointer> upstreams(const ServiceId& service) const
+    {
+        const auto found = byService_.find(service.view());
+        if (found == byService_.end())
+            return {};
+        return found->second;
+    }
+
+    const Duration returnGrace_;
+    const Listener listener_;
+    StringMap<UpstreamPointer> byId_;
+    StringMap<std::vector<UpstreamPointer>> byService_;
+    /** Entries that were removed while the store had just returned. */
+    std::set<std::string> doomed_;
+    TimePoint graceUntil_ {};
+    std::uint64_t lastNumber_ = 0;
+
+private:
+    static bool isOlder(const UpstreamRecord& record, const UpstreamRecord& known)
+    {
+        if (record.startedAtUnixMillis != known.startedAtUnixMillis)
+            return record.startedAtUnixMillis < known.startedAtUnixMillis;
+        return record.startedAtUnixMillis != 0 && record.sequence < known.sequence;
+    }
+
+    static bool isNewStart(const UpstreamRecord& record, const UpstreamRecord& known)
+    {
+        return record.startedAtUnixMillis > known.startedAtUnixMillis || record.address != known.address
+            || record.port != known.port || record.service != known.service;
+    }
+
+    void add(const UpstreamRecord& record, RegistryEvent event, TimePoint now)
+    {
+        auto upstream = std::make_shared<Upstream>();
+        upstream->number = ++lastNumber_;
+        upstream->record = record;
+        upstream->coldUntil = now + record.coldFor;
+        upstream->usable = !record.draining;
+        byId_[record.id.str()] = upstream;
+        if (upstream->usable)
+            byService_[record.service.str()].push_back(upstream);
+        listener_(upstream->usable ? event : RegistryEvent::Draining, *upstream);
+    }
+
+    /** Takes the replica out of the lists for new requests. */
+    void unlist(const UpstreamPointer& upstream)
+    {
+        auto& list = byService_[upstream->record.service.str()];
+        list.erase(std::remove(list.begin(), list.end(), upstream), list.end());
+    }
+
+    void retire(const UpstreamPointer& upstream)
+    {
+        upstream->usable = false;
+        unlist(upstream);
+        byId_.erase(upstream->record.id.str());
+    }
+
+    void drop(const UpstreamPointer& upstream)
+    {
+        const auto kept = upstream;
+        retire(kept);
+        listener_(RegistryEvent::Removed, *kept);
+    }
+};
+
+Registry::Registry(Duration returnGrace, Listener listener)
+    : impl_(std::make_unique<Impl>(returnGrace, std::move(listener)))
+{
+}
+
+Registry::~Registry() = default;
+
+void Registry::applyListing(std::span<const UpstreamRecord> records, TimePoint now)
+{
+    impl_->applyListing(records, now);
+}
+
+void Registry::apply(const RegistryChange& change, TimePoint now)
+{
+    if (change.record) {
+        impl_->put(*change.record, now);
+    } else {
+        impl_->remove(change.id, now);
+    }
+}
+
+void Registry::storeReturned(TimePoint now) { impl_->graceUntil_ = now + impl_->returnGrace_; }
+
+void Registry::expire(TimePoint now) { impl_->expire(now); }
+
+std::span<const UpstreamPointer> Registry::upstreams(const ServiceId& service) const
+{
+    return impl_->upstreams(service);
+}
+
+std::size_t Registry::size() const { return impl_->byId_.size(); }
+
+} // namespace banyancroft::upstreams
