Notice a VM that is cut off, refuse hopeless requests before any send, settle new connections

Ruled out: suspect replicas of the own zone (the log shows that the lacking shards have none there). Change: ReachTracker, readiness and Retry-After by it, isServable() before the first send, settle time of new connections, 0.7 instead of 0.9 of a replica's connections.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -14,7 +14,6 @@
 #include <algorithm>
 #include <csignal>
 #include <set>
-#include <tuple>
 
 namespace banyancroft::gateway {
 
@@ -205,14 +204,13 @@
         traffic_.setLiveVms(vms);
     }
 
-    bool isReadyNow(TimePoint now) const
+    bool isReadyNow(TimePoint now)
     {
         ReadinessInputs inputs;
         inputs.hasConfiguration = traffic_.configuration().current() != nullptr;
         inputs.hasRegistrations = hasListed_;
         inputs.isStopping = stopping_;
-        inputs.storeSilence = follower_.silence(now);
-        std::tie(inputs.services, inputs.reachableServices) = traffic_.reachableServices(now);
+        inputs.isCutOff = traffic_.reach().isCutOff(now);
         return isReady(inputs);
     }
 
@@ -231,6 +229,7 @@
             log(LogLevel::Info, "gateway", ready ? "ready" : "not ready",
                 { { "store_silence_ms", std::to_string(toMillis(follower_.silence(now))) },
                     { "config", std::to_string(traffic_.configuration().version().value) },
+                    { "cut_off", traffic_.reach().isCutOff(now) ? "yes" : "no" },
                     { "stopping", stopping_ ? "yes" : "no" } });
         }
         request.connection->respond(response, false);
--- a/libs/gateway/src/readiness.cpp
+++ b/libs/gateway/src/readiness.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-/** Without an answer for this long the store is taken to be out of reach. */
-constexpr Duration storeLost = std::chrono::milliseconds(1500);
 /** Part of the longest stop after which the balancer has seen two failed probes, at one a second. */
 constexpr double noticedPart = 0.45;
 /** Part of the longest stop that is left for the process to end in. */
@@ -20,10 +18,7 @@
 
 bool isReady(const ReadinessInputs& inputs)
 {
-    if (inputs.isStopping || !inputs.hasConfiguration || !inputs.hasRegistrations)
-        return false;
-    const bool isCutOff = inputs.storeSilence > storeLost && inputs.reachableServices * 2 < inputs.services;
-    return !isCutOff;
+    return inputs.hasConfiguration && inputs.hasRegistrations && !inputs.isStopping && !inputs.isCutOff;
 }
 
 StopStep stopStep(Duration sinceStop, Duration grace, std::size_t busy)
--- a/libs/gateway/src/readiness.h
+++ b/libs/gateway/src/readiness.h
@@ -11,19 +11,15 @@
     bool hasConfiguration = false;
     bool hasRegistrations = false;
     bool isStopping = false;
-    /** Time since the store last answered. */
-    Duration storeSilence {};
-    /** Services that routes send to, and those of them with at least one replica that seems alive. */
-    std::size_t services = 0;
-    std::size_t reachableServices = 0;
+    /** The VM reaches no other availability zone and fails most requests. */
+    bool isCutOff = false;
 };
 
 /**
  * Whether the balancer should send callers to this VM.
  *
- * Answers the load of a zone that is cut off: a VM that reaches neither the store nor most services
- * serves callers worse than one of another zone. While only replicas fail, all VMs are alike, so this one
- * stays ready.
+ * Without configuration or registrations it can only refuse; cut off from the other zones it serves callers
+ * worse than a VM of another zone. An outage of the store alone changes nothing for callers.
  */
 bool isReady(const ReadinessInputs& inputs);
 
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -154,6 +154,8 @@
         return dispatch::hedgeDelay(
             history_.times, traffic_.budgetLeft(serviceOf(shard), BootClock::now()), route_.latencyObjective);
     });
+    if (route_.isGather() && !traffic_.isServable(route_, rules.needed, now))
+        return refuse(now);
     caller_->onGone([weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->callerGone(BootClock::now());
@@ -390,6 +392,7 @@
 {
     auto& metrics = traffic_.metrics();
     metrics.served.add();
+    traffic_.reach().served(now);
     metrics.answerSeconds.record(now - arrivedAt_);
     if (!route_.isGather())
         return finish(*result_, "served", now);
@@ -403,12 +406,18 @@
 void RequestRunner::refuse(TimePoint now)
 {
     traffic_.metrics().refused.add();
-    finish(refusal(traffic_.dialect().headers, unavailableWait), "refused", now);
+    auto& reach = traffic_.reach();
+    reach.unserved(now);
+    const bool cutOff = reach.isCutOff(now);
+    const auto wait
+        = cutOff ? returnAfterCutOff(now - reach.cutOffSince(), unavailableWait) : unavailableWait;
+    finish(refusal(traffic_.dialect().headers, wait), cutOff ? "refused, cut off" : "refused", now);
 }
 
 void RequestRunner::fail(TimePoint now)
 {
     traffic_.metrics().failed.add();
+    traffic_.reach().unserved(now);
     if (failure_)
         return finish(*failure_, "failure of the replica", now);
     const bool late = now >= plan_->rules().deadline;
@@ -427,7 +436,8 @@
             { "repeats", std::to_string(repeats_) }, { "deadline_ms", millisText(deadline_) },
             { "config", std::to_string(routes_->configuration().version.value) },
             { "config_age_ms", millisText(now - traffic_.configuration().acceptedAt()) } });
-    caller_->respond(response, false);
+    // A caller of a VM that is cut off is served better on a new connection, which leads elsewhere.
+    caller_->respond(response, traffic_.reach().isCutOff(now));
 }
 
 void RequestRunner::callerGone(TimePoint now)
--- a/libs/gateway/src/traffic.cpp
+++ b/libs/gateway/src/traffic.cpp
@@ -13,7 +13,9 @@
 using telemetry::LogLevel;
 
 /** Part of a replica's connections that the VMs use together; the rest is for their changing number. */
-constexpr double usedConnections = 0.9;
+constexpr double usedConnections = 0.7;
+/** Replicas may hold connections of the VM's earlier process for about this long. */
+constexpr Duration startCaution = std::chrono::seconds(4);
 /** Part of a cold replica's rate that the VMs use together. */
 constexpr double usedColdRate = 0.8;
 
@@ -89,7 +91,8 @@
 {
     auto& pool = pools_[upstream->number];
     if (!pool)
-        pool = std::make_unique<UpstreamPool>(ioContext_, upstream, dialect_.headers.requestId);
+        pool = std::make_unique<UpstreamPool>(
+            ioContext_, upstream, dialect_.headers.requestId, startedAt_ + startCaution);
     return *pool;
 }
 
@@ -167,6 +170,8 @@
         if (const auto millis = http::parseNumber(*cold))
             upstream->coldUntil = now + std::chrono::milliseconds(*millis);
     }
+    if (upstream->record.zone != settings_.zone)
+        reach_.otherZoneAnswered(now);
     switch (classify(answer->head, dialect_)) {
     case AnswerKind::Result:
         metrics_.upstreamSeconds.record(now - sentAt);
@@ -222,6 +227,8 @@
                     reached ? "silent upstream takes connections" : "upstream is silent",
                     { { "upstream", upstream->record.id.str() },
                         { "outstanding", std::to_string(upstream->health.outstanding()) } });
+                if (reached && upstream->record.zone != settings_.zone)
+                    reach_.otherZoneAnswered(BootClock::now());
                 // More than one idle connection would only wait for its timeout.
                 auto& ownPool = pool(upstream);
                 if (reached && ownPool.hasIdle()) {
@@ -241,22 +248,15 @@
     std::erase_if(pacers_, [&listed](const auto& entry) { return !listed.contains(entry.first); });
 }
 
-std::pair<std::size_t, std::size_t> Traffic::reachableServices(TimePoint now) const
+bool Traffic::isServable(const routing::Route& route, std::size_t needed, TimePoint now) const
 {
-    const auto routes = configuration_.current();
-    if (!routes)
-        return { 0, 0 };
-    std::size_t services = 0;
-    std::size_t reachable = 0;
-    for (const auto& service : routes->configuration().services) {
-        const auto candidates = registry_.upstreams(service.id);
-        if (candidates.empty())
-            continue;
-        ++services;
-        reachable += std::any_of(candidates.begin(), candidates.end(),
-            [now](const auto& upstream) { return !upstream->health.isSuspect(now); });
-    }
-    return { services, reachable };
+    const auto hasCandidate = [&](const ServiceId& service) {
+        const auto candidates = registry_.upstreams(service);
+        return std::any_of(candidates.begin(), candidates.end(),
+            [&](const auto& upstream) { return upstreams::isCandidate(*upstream, registry_, now); });
+    };
+    const auto& shards = route.gather.shards;
+    return static_cast<std::size_t>(std::count_if(shards.begin(), shards.end(), hasCandidate)) >= needed;
 }
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/traffic.h
+++ b/libs/gateway/src/traffic.h
@@ -4,6 +4,7 @@
 #include "dispatch/retry_budget.h"
 #include "gateway/dialect.h"
 #include "gateway/settings.h"
+#include "reach_tracker.h"
 #include "request_log.h"
 #include "routing/configuration_keeper.h"
 #include "telemetry/metrics.h"
@@ -96,8 +97,11 @@
 
     /** Ends overdue work and tries silent replicas; to be called every few hundred milliseconds. */
     void tick(TimePoint now);
-    /** Services of the configuration's routes, and how many of them have a replica that seems alive. */
-    std::pair<std::size_t, std::size_t> reachableServices(TimePoint now) const;
+    /** True when at least `needed` shards of a gather route have a replica that may be tried. */
+    bool isServable(const routing::Route& route, std::size_t needed, TimePoint now) const;
+    /** What this VM reaches, as its requests show. */
+    ReachTracker& reach() { return reach_; }
+    const ReachTracker& reach() const { return reach_; }
 
 private:
     void trySilentReplicas(TimePoint now);
@@ -118,6 +122,7 @@
     std::map<std::string, RouteHistory> histories_;
     std::mt19937_64 random_;
     std::uniform_real_distribution<double> uniform_ { 0, 1 };
+    ReachTracker reach_;
     unsigned liveVms_ = 1;
 };
 
--- a/libs/gateway/src/upstream_connection.cpp
+++ b/libs/gateway/src/upstream_connection.cpp
@@ -123,6 +123,7 @@
 
 void UpstreamConnection::complete()
 {
+    answered_ = true;
     const bool reusable = inbox_.empty() && written_ == outbox_.size() && reader_.response().hasFraming
         && reader_.keepsAlive();
     noteIdleTimeout();
@@ -169,6 +170,7 @@
     if (closed_)
         return;
     const auto self = shared_from_this();
+    reset_ = open_ && end == ExchangeEnd::Broken;
     closed_ = true;
     open_ = false;
     error_code ignored;
--- a/libs/gateway/src/upstream_connection.h
+++ b/libs/gateway/src/upstream_connection.h
@@ -76,6 +76,10 @@
     void abandon();
 
     bool isOpen() const { return open_; }
+    /** True when the replica ended the connection after it was open. */
+    bool wasReset() const { return reset_; }
+    /** True once the replica has answered a request on this connection. */
+    bool hasAnswered() const { return answered_; }
     /** False once the time for which the replica keeps an idle connection is nearly over. */
     bool isFresh(TimePoint now) const { return now < idleUntil_; }
 
@@ -103,6 +107,8 @@
     std::function<void(const boost::system::error_code&)> connectHandler_;
     TimePoint connectDeadline_ {};
     TimePoint idleUntil_ = TimePoint::max();
+    bool answered_ = false;
+    bool reset_ = false;
     bool open_ = false;
     bool closed_ = false;
 };
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -1,6 +1,7 @@
 #include "upstream_pool.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 
@@ -12,14 +13,23 @@
 constexpr Duration connectTimeout = std::chrono::milliseconds(150);
 /** Assumed time to open a connection before one was opened. */
 constexpr Duration unknownHandshake = std::chrono::milliseconds(5);
+/** How long new connections are not trusted after the replica has reset one. */
+constexpr Duration caution = std::chrono::seconds(3);
+/** Pause before a connection is opened again to a replica that has reset one. */
+constexpr Duration fullPause = std::chrono::milliseconds(30);
+/** A reset travels as long as the answer to an opened connection; this many times that is waited. */
+constexpr int settleFactor = 2;
+constexpr Duration leastSettle = std::chrono::milliseconds(2);
+constexpr Duration longestSettle = std::chrono::milliseconds(12);
 
 } // namespace
 
-UpstreamPool::UpstreamPool(
-    boost::asio::io_context& ioContext, upstreams::UpstreamPointer upstream, std::string requestIdField)
+UpstreamPool::UpstreamPool(boost::asio::io_context& ioContext, upstreams::UpstreamPointer upstream,
+    std::string requestIdField, TimePoint cautiousUntil)
     : ioContext_(ioContext)
     , upstream_(std::move(upstream))
     , requestIdField_(std::move(requestIdField))
+    , cautiousUntil_(cautiousUntil)
     , handshake_(unknownHandshake)
 {
 }
@@ -37,9 +47,16 @@
         idle_.begin(), idle_.end(), [now](const auto& connection) { return connection->isFresh(now); });
     if (hasIdle)
         return Duration::zero();
-    if (connections_.size() - idle_.size() >= limit_)
+    if (connections_.size() - idle_.size() >= limit_ || now < fullUntil_)
         return std::nullopt;
-    return handshake_;
+    return handshake_ + settleTime(now);
+}
+
+Duration UpstreamPool::settleTime(TimePoint now) const
+{
+    if (now >= cautiousUntil_)
+        return Duration::zero();
+    return std::clamp<Duration>(handshake_ * settleFactor, leastSettle, longestSettle);
 }
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::takeIdle(TimePoint now)
@@ -78,10 +95,21 @@
             }
             upstream_->health.connected(at);
             handshake_ = (handshake_ * 3 + (at - started)) / 4;
-            handler(connection);
+            const auto time = settleTime(at);
+            if (time == Duration::zero())
+                return handler(connection);
+            settle(connection, time, handler);
         });
 }
 
+void UpstreamPool::settle(std::shared_ptr<UpstreamConnection> connection, Duration time, Connected handler)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(ioContext_, time);
+    timer->async_wait(
+        [timer, connection = std::move(connection), handler = std::move(handler)](
+            const boost::system::error_code&) { handler(connection->isOpen() ? connection : nullptr); });
+}
+
 void UpstreamPool::putBack(const std::shared_ptr<UpstreamConnection>& connection)
 {
     if (retired_)
@@ -91,6 +119,11 @@
 
 void UpstreamPool::remove(UpstreamConnection& connection)
 {
+    if (connection.wasReset() && !connection.hasAnswered()) {
+        const auto now = BootClock::now();
+        cautiousUntil_ = std::max(cautiousUntil_, now + caution);
+        fullUntil_ = now + fullPause;
+    }
     const auto isSame = [&connection](const auto& entry) { return entry.get() == &connection; };
     idle_.erase(std::remove_if(idle_.begin(), idle_.end(), isSame), idle_.end());
     connections_.erase(std::remove_if(connections_.begin(), connections_.end(), isSame), connections_.end());
--- a/libs/gateway/src/upstream_pool.h
+++ b/libs/gateway/src/upstream_pool.h
@@ -13,13 +13,19 @@
 /**
  * The connections to one replica. At most `limit` are open or being opened; idle ones are used again,
  * the most recently used first, so that the others reach their idle timeout.
+ *
+ * A replica that has all the connections it accepts resets a new one right after it was opened. A pool
+ * that has seen that, or whose VM has just started while connections from before may still be open at the
+ * replica, lets a new connection stand for a moment before a request is sent on it, so that no request
+ * is lost with it.
  */
 class UpstreamPool {
 public:
     using Connected = std::function<void(std::shared_ptr<UpstreamConnection>)>;
 
-    UpstreamPool(
-        boost::asio::io_context& ioContext, upstreams::UpstreamPointer upstream, std::string requestIdField);
+    /** @param cautiousUntil new connections are not trusted at once before this time */
+    UpstreamPool(boost::asio::io_context& ioContext, upstreams::UpstreamPointer upstream,
+        std::string requestIdField, TimePoint cautiousUntil);
     ~UpstreamPool();
     UpstreamPool(const UpstreamPool&) = delete;
     UpstreamPool& operator=(const UpstreamPool&) = delete;
@@ -49,12 +55,18 @@
     std::uint64_t opened() const { return opened_; }
 
 private:
+    /** How long a new connection has to stand before it is used. */
+    Duration settleTime(TimePoint now) const;
+    void settle(std::shared_ptr<UpstreamConnection> connection, Duration time, Connected handler);
     void remove(UpstreamConnection& connection);
 
     boost::asio::io_context& ioContext_;
     upstreams::UpstreamPointer upstream_;
     std::string requestIdField_;
     std::size_t limit_ = 1;
+    TimePoint cautiousUntil_;
+    /** No connection is opened before this time, since the replica has just reset one. */
+    TimePoint fullUntil_ {};
     bool retired_ = false;
     Duration handshake_;
     std::size_t connecting_ = 0;
--- a/libs/upstreams/include/upstreams/placement.h
+++ b/libs/upstreams/include/upstreams/placement.h
@@ -38,8 +38,12 @@
     bool waitsForConnection = false;
 };
 
+/** True unless the replica leaves, is in a zone taken out, or is silent. Silent ones are tried by
+ * connections. */
+bool isCandidate(const Upstream& upstream, const Registry& registry, TimePoint now);
+
 /**
- * Picks the replica with the least expected delay, suspect ones last, the own availability zone first
+ * Picks the candidate with the least expected delay, the own availability zone first
  * while that costs no waiting.
  *
  * Answers the load of scatter-gather requests, where every request meets the slowest of its shards:
--- a/libs/upstreams/src/placement.cpp
+++ b/libs/upstreams/src/placement.cpp
@@ -10,7 +10,7 @@
 constexpr double otherZoneCost = 0.4;
 /** Random part of the score in usual answer times, so that VMs with equal knowledge spread out. */
 constexpr double spread = 0.3;
-/** Replicas that seem dead or were tried before are used only when nothing else is left. */
+/** Replicas that were tried before are used only when nothing else is left. */
 constexpr Duration lastResort = std::chrono::seconds(30);
 
 Duration scaled(Duration duration, double factor)
@@ -20,27 +20,31 @@
 
 } // namespace
 
+bool isCandidate(const Upstream& upstream, const Registry& registry, TimePoint now)
+{
+    if (!upstream.usable || upstream.misdirected || registry.isZoneOut(upstream.record.zone))
+        return false;
+    return !upstream.health.isSuspect(now);
+}
+
 Placement place(std::span<const UpstreamPointer> candidates, const Registry& registry,
     const PlacementRequest& request, const PlacementHooks& hooks, TimePoint now)
 {
     Placement best;
     Duration bestScore = Duration::max();
     for (const auto& upstream : candidates) {
-        if (!upstream->usable || upstream->misdirected || registry.isZoneOut(upstream->record.zone))
+        if (!isCandidate(*upstream, registry, now))
             continue;
         const bool tried
             = std::find(request.tried.begin(), request.tried.end(), upstream->number) != request.tried.end();
         if (tried && !request.mayRepeatReplica)
             continue;
         const auto& health = upstream->health;
-        const bool suspect = health.isSuspect(now);
-        if (suspect && now < health.nextTrial())
-            continue;
         const auto expected = health.expectedDelay(upstream->record.slots, request.typical, now);
         auto score = expected + scaled(request.typical, spread * hooks.random());
         if (upstream->record.zone != request.ownZone)
             score += scaled(request.typical, otherZoneCost);
-        if (tried || suspect)
+        if (tried)
             score += lastResort;
         if (score >= bestScore)
             continue;
