--- /dev/null
+++ b/libs/dispatch/tests/test_request_plan.cpp
@@ -0,0 +1,217 @@
+#include "dispatch/record_merge.h"
+#include "dispatch/request_plan.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace banyancroft;
+using namespace banyancroft::dispatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 1000s };
+
+PlanRules gatherRules()
+{
+    PlanRules rules;
+    rules.repeatable = true;
+    rules.maxUpstreams = 2;
+    rules.shards = 10;
+    rules.needed = 9;
+    rules.answerAt = start + 110ms;
+    rules.deadline = start + 1190ms;
+    return rules;
+}
+
+PlanRules singleRules(bool repeatable)
+{
+    PlanRules rules;
+    rules.repeatable = repeatable;
+    rules.maxUpstreams = 2;
+    rules.deadline = start + 4900ms;
+    return rules;
+}
+
+RequestPlan planOf(const PlanRules& rules)
+{
+    return RequestPlan(rules, [](std::size_t) { return Duration(30ms); });
+}
+
+/** Carries out all sends that are due; returns the shards sent to. */
+std::multiset<std::size_t> sendAll(RequestPlan& plan, TimePoint now)
+{
+    std::multiset<std::size_t> shards;
+    for (auto step = plan.next(now); step.kind == StepKind::Send; step = plan.next(now)) {
+        plan.sent(step.shard, false, now);
+        shards.insert(step.shard);
+    }
+    return shards;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(anAnswerWithAllPartsGoesOutAtOnce)
+{
+    auto plan = planOf(gatherRules());
+    BOOST_TEST(sendAll(plan, start).size() == 10U);
+    for (std::size_t shard = 0; shard < 10; ++shard)
+        plan.answered(shard);
+    BOOST_TEST((plan.next(start + 20ms).kind == StepKind::Answer));
+}
+
+// One paused replica among ten shards: a copy goes out, and its answer completes the request.
+BOOST_AUTO_TEST_CASE(alateShardGetsOneCopy)
+{
+    auto plan = planOf(gatherRules());
+    sendAll(plan, start);
+    for (std::size_t shard = 1; shard < 10; ++shard)
+        plan.answered(shard);
+    const auto wait = plan.next(start + 20ms);
+    BOOST_TEST((wait.kind == StepKind::Wait));
+    BOOST_TEST((wait.until == start + 30ms));
+    const auto copy = plan.next(start + 30ms);
+    BOOST_TEST((copy.kind == StepKind::Send));
+    BOOST_TEST(copy.shard == 0U);
+    BOOST_TEST(copy.repeat);
+    // Nine parts are enough, so the copy must not use the last of the budget.
+    BOOST_TEST(copy.optional);
+    plan.sent(0, false, start + 30ms);
+    BOOST_TEST(sendAll(plan, start + 80ms).empty());
+    plan.answered(0);
+    BOOST_TEST((plan.next(start + 81ms).kind == StepKind::Answer));
+}
+
+// Waiting past the objective for the last part costs nine tenths of the answer's worth.
+BOOST_AUTO_TEST_CASE(enoughPartsAreAnsweredShortlyBeforeTheObjective)
+{
+    auto plan = planOf(gatherRules());
+    sendAll(plan, start);
+    for (std::size_t shard = 1; shard < 10; ++shard)
+        plan.answered(shard);
+    sendAll(plan, start + 40ms);
+    BOOST_TEST((plan.next(start + 109ms).kind == StepKind::Wait));
+    BOOST_TEST((plan.next(start + 110ms).kind == StepKind::Answer));
+}
+
+BOOST_AUTO_TEST_CASE(tooFewPartsAreWaitedForUntilTheDeadline)
+{
+    auto plan = planOf(gatherRules());
+    sendAll(plan, start);
+    for (std::size_t shard = 2; shard < 10; ++shard)
+        plan.answered(shard);
+    sendAll(plan, start + 40ms);
+    BOOST_TEST((plan.next(start + 500ms).kind == StepKind::Wait));
+    plan.answered(1);
+    BOOST_TEST((plan.next(start + 501ms).kind == StepKind::Answer));
+}
+
+BOOST_AUTO_TEST_CASE(aRequestThatCannotGetEnoughPartsEndsAtOnce)
+{
+    auto plan = planOf(gatherRules());
+    plan.unavailable(3);
+    sendAll(plan, start);
+    plan.refused(4);
+    BOOST_TEST((plan.next(start + 1ms).kind == StepKind::Send));
+    plan.sent(4, false, start + 1ms);
+    BOOST_TEST((plan.next(start + 1ms).kind == StepKind::Wait));
+    plan.refused(4);
+    // Two of ten shards are lost and nine parts are needed.
+    BOOST_TEST((plan.next(start + 2ms).kind == StepKind::Fail));
+}
+
+BOOST_AUTO_TEST_CASE(nothingIsSaidToHaveRunWhenNothingWasSent)
+{
+    auto plan = planOf(gatherRules());
+    plan.unavailable(0);
+    plan.unavailable(1);
+    BOOST_TEST((plan.next(start).kind == StepKind::Refuse));
+    BOOST_TEST(!plan.wasOffered());
+}
+
+// A refusal is definite, so the next replica is asked without waiting.
+BOOST_AUTO_TEST_CASE(aRefusedSendIsRepeatedAtOnceAlsoWhenNotIdempotent)
+{
+    auto plan = planOf(singleRules(false));
+    BOOST_TEST(sendAll(plan, start).size() == 1U);
+    plan.refused(0);
+    const auto step = plan.next(start + 1ms);
+    BOOST_TEST((step.kind == StepKind::Send));
+    BOOST_TEST(step.repeat);
+    plan.sent(0, false, start + 1ms);
+    plan.refused(0);
+    // Two replicas refused: a promise that the request has not run is true.
+    BOOST_TEST((plan.next(start + 2ms).kind == StepKind::Refuse));
+}
+
+// A non-idempotent request whose answer was lost may have run and must not run again.
+BOOST_AUTO_TEST_CASE(aNonIdempotentRequestIsNeverRepeatedAfterAnUnknownOutcome)
+{
+    auto plan = planOf(singleRules(false));
+    sendAll(plan, start);
+    BOOST_TEST((plan.next(start + 3s).kind == StepKind::Wait));
+    plan.failed(0);
+    BOOST_TEST((plan.next(start + 3s).kind == StepKind::Fail));
+
+    auto silent = planOf(singleRules(false));
+    sendAll(silent, start);
+    BOOST_TEST((silent.next(start + 4900ms).kind == StepKind::Fail));
+    BOOST_TEST(silent.mayHaveRun());
+}
+
+BOOST_AUTO_TEST_CASE(anIdempotentRequestIsRepeatedAfterAFailure)
+{
+    auto plan = planOf(singleRules(true));
+    sendAll(plan, start);
+    plan.failed(0);
+    BOOST_TEST(sendAll(plan, start + 5ms).size() == 1U);
+    plan.answered(0);
+    BOOST_TEST((plan.next(start + 20ms).kind == StepKind::Answer));
+}
+
+// A connection that cannot be opened has handed nothing to a replica: no budget, no attempt is used.
+BOOST_AUTO_TEST_CASE(aFailedConnectionIsNoSend)
+{
+    auto plan = planOf(singleRules(false));
+    for (int i = 0; i < 5; ++i) {
+        const auto step = plan.next(start + i * 1ms);
+        BOOST_TEST((step.kind == StepKind::Send));
+        BOOST_TEST(!step.repeat);
+        plan.connecting(0, start);
+        BOOST_TEST((plan.next(start + i * 1ms).kind == StepKind::Wait));
+        plan.connectFailed(0);
+    }
+    BOOST_TEST(!plan.wasOffered());
+    BOOST_TEST(!plan.mayHaveRun());
+}
+
+BOOST_AUTO_TEST_CASE(aBlockedShardIsLookedAtAgainAtItsTime)
+{
+    auto plan = planOf(singleRules(true));
+    plan.blocked(0, start + 3ms);
+    const auto wait = plan.next(start);
+    BOOST_TEST((wait.kind == StepKind::Wait));
+    BOOST_TEST((wait.until == start + 3ms));
+    BOOST_TEST((plan.next(start + 3ms).kind == StepKind::Send));
+}
+
+BOOST_AUTO_TEST_CASE(aNewlyStartedRequestPastItsDeadlineIsRefused)
+{
+    auto plan = planOf(singleRules(true));
+    BOOST_TEST((plan.next(start + 5s).kind == StepKind::Refuse));
+}
+
+BOOST_AUTO_TEST_CASE(partsAreMergedByBytesGreatestFirst)
+{
+    const std::string low(16, '\x01');
+    const std::string high(16, '\xff');
+    const std::string middle(16, 'm');
+    const std::string first = low + high + "short remainder";
+    const std::string second = middle + high;
+    const std::vector<std::string_view> parts { first, second };
+    BOOST_TEST(mergeGreatest(parts, 3) == high + high + middle);
+    BOOST_TEST(mergeGreatest(parts, 10) == high + high + middle + low);
+    BOOST_TEST(mergeGreatest(parts, 0).empty());
+    BOOST_TEST(mergeGreatest({}, 5).empty());
+}
--- /dev/null
+++ b/libs/dispatch/tests/test_retry_budget.cpp
@@ -0,0 +1,116 @@
+#include "dispatch/hedge_delay.h"
+#include "dispatch/retry_budget.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace banyancroft;
+using namespace banyancroft::dispatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 1000s };
+const RetryLimit limit { 0.2, 10s, 56 };
+
+/** Requests and repeats of all VMs, judged as the limit is stated, without the code under test. */
+struct Ledger {
+    std::vector<TimePoint> requests;
+    std::vector<TimePoint> repeats;
+
+    static long within(const std::vector<TimePoint>& times, TimePoint from, TimePoint to)
+    {
+        return std::count_if(times.begin(), times.end(), [&](TimePoint at) { return at >= from && at < to; });
+    }
+
+    /** Most by which any window exceeds the limit; negative when none does. */
+    double excess() const
+    {
+        double worst = -1e9;
+        for (const auto at : repeats) {
+            const auto from = at - 10s;
+            const double allowed = 0.2 * static_cast<double>(within(requests, from, at)) + 56;
+            worst = std::max(worst, static_cast<double>(within(repeats, from, at)) + 1 - allowed);
+        }
+        return worst;
+    }
+};
+
+} // namespace
+
+// Eight VMs with uneven traffic, all of which repeat whatever they are allowed: the worst load there is.
+BOOST_AUTO_TEST_CASE(allVmsTogetherStayWithinTheLimitWhenEveryRequestIsRepeated)
+{
+    constexpr unsigned vms = 8;
+    for (const unsigned seed : { 1U, 2U, 3U }) {
+        std::mt19937 random(seed);
+        std::vector<RetryBudget> budgets(vms, RetryBudget(limit, start));
+        Ledger ledger;
+        for (auto now = start; now < start + 40s; now += 5ms) {
+            // A gap in the traffic, after which what was earned before must be gone.
+            const bool quiet = now > start + 15s && now < start + 22s;
+            const auto vm = std::min<unsigned>(random() % vms, random() % vms);
+            if (!quiet) {
+                budgets[vm].earn(now);
+                ledger.requests.push_back(now);
+            }
+            for (auto& budget : budgets) {
+                if (budget.take(now, vms, 0))
+                    ledger.repeats.push_back(now);
+            }
+        }
+        BOOST_TEST(ledger.excess() <= 0.0);
+        BOOST_TEST(ledger.repeats.size() > 0.1 * static_cast<double>(ledger.requests.size()));
+    }
+}
+
+// A VM that was killed and started again does not know what it spent; its slack grows anew.
+BOOST_AUTO_TEST_CASE(aRestartedVmHasNoSlackAtOnce)
+{
+    RetryBudget budget(limit, start);
+    BOOST_TEST(!budget.take(start + 10ms, 1, 0));
+    BOOST_TEST(budget.available(start + 5s, 1) > 20.0);
+    BOOST_TEST(budget.available(start + 5s, 8) < 4.0);
+}
+
+BOOST_AUTO_TEST_CASE(optionalRepeatsLeaveBudgetForUrgentOnes)
+{
+    RetryBudget budget(limit, start);
+    const auto now = start + 20s;
+    unsigned optional = 0;
+    while (budget.take(now, 1, 0.4))
+        ++optional;
+    unsigned urgent = 0;
+    while (budget.take(now, 1, 0))
+        ++urgent;
+    BOOST_TEST(optional >= 25U);
+    BOOST_TEST(urgent >= 15U);
+}
+
+BOOST_AUTO_TEST_CASE(copiesGoOutAfterTheUsualTimeAndInsideTheObjective)
+{
+    AnswerTimes times;
+    BOOST_TEST((hedgeDelay(times, 1, 120ms) <= 48ms));
+    for (int i = 0; i < 400; ++i)
+        times.observe(i % 20 == 0 ? 160ms : 10ms + std::chrono::microseconds(i % 10 * 1000));
+    const auto early = hedgeDelay(times, 1, 120ms);
+    const auto late = hedgeDelay(times, 0, 120ms);
+    BOOST_TEST((early >= 15ms));
+    BOOST_TEST((early <= 25ms));
+    BOOST_TEST((late > early));
+    BOOST_TEST((late <= 48ms));
+}
+
+BOOST_AUTO_TEST_CASE(quantilesFollowAChangeOfLoad)
+{
+    AnswerTimes times;
+    for (int i = 0; i < 2000; ++i)
+        times.observe(10ms);
+    for (int i = 0; i < 2000; ++i)
+        times.observe(40ms);
+    const auto median = times.quantile(0.5, 1ms);
+    BOOST_TEST((median > 30ms));
+    BOOST_TEST((median < 50ms));
+    BOOST_TEST((AnswerTimes().quantile(0.5, 7ms) == 7ms));
+}
--- /dev/null
+++ b/libs/gateway/tests/fake_replica.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "http/message_reader.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace banyancroft::gateway {
+
+/** What a fake replica does with a request. */
+struct FakeAnswer {
+    /** Bytes to write; empty for none. */
+    std::string bytes;
+    /** Close the connection after the bytes. */
+    bool close = false;
+};
+
+/** A replica on loopback whose answers a test scripts. Runs on the test's io_context. */
+class FakeReplica {
+public:
+    using Script = std::function<FakeAnswer(const http::RequestHead&, const std::string& body)>;
+
+    FakeReplica(boost::asio::io_context& ioContext, std::string name, Script script)
+        : acceptor_(ioContext, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        , name_(std::move(name))
+        , script_(std::move(script))
+    {
+        accept();
+    }
+
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    const std::string& name() const { return name_; }
+    /** Requests that arrived in whole. */
+    int arrivals() const { return arrivals_; }
+    /** Connections that the gateway closed while a request had no answer. */
+    int abandoned() const { return abandoned_; }
+    const std::vector<std::string>& deadlines() const { return deadlines_; }
+
+private:
+    struct Connection {
+        explicit Connection(boost::asio::ip::tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+
+        boost::asio::ip::tcp::socket socket;
+        http::MessageReader reader { http::MessageReader::Kind::Request, {} };
+        std::array<char, 4096> chunk {};
+        std::string inbox;
+        bool unanswered = false;
+    };
+
+    void accept()
+    {
+        acceptor_.async_accept([this](const auto& failure, boost::asio::ip::tcp::socket socket) {
+            if (failure)
+                return;
+            read(std::make_shared<Connection>(std::move(socket)));
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<Connection>& connection)
+    {
+        connection->socket.async_read_some(boost::asio::buffer(connection->chunk),
+            [this, connection](const auto& failure, std::size_t count) {
+                if (failure) {
+                    abandoned_ += connection->unanswered;
+                    return;
+                }
+                connection->inbox.append(connection->chunk.data(), count);
+                std::size_t consumed = 0;
+                const auto state = connection->reader.read(connection->inbox, consumed);
+                connection->inbox.erase(0, consumed);
+                if (state == http::ReadState::Complete)
+                    answer(connection);
+                if (connection->socket.is_open())
+                    read(connection);
+            });
+    }
+
+    void answer(const std::shared_ptr<Connection>& connection)
+    {
+        ++arrivals_;
+        const auto& head = connection->reader.request();
+        deadlines_.emplace_back(head.fields.find("Deadline").value_or(""));
+        const auto scripted = script_(head, connection->reader.body());
+        connection->reader.begin();
+        connection->unanswered = scripted.bytes.empty();
+        boost::system::error_code ignored;
+        boost::asio::write(connection->socket, boost::asio::buffer(scripted.bytes), ignored);
+        if (scripted.close)
+            connection->socket.close(ignored);
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::string name_;
+    Script script_;
+    int arrivals_ = 0;
+    int abandoned_ = 0;
+    std::vector<std::string> deadlines_;
+};
+
+} // namespace banyancroft::gateway
--- /dev/null
+++ b/libs/gateway/tests/test_decisions.cpp
@@ -0,0 +1,193 @@
+#include "gather_answer.h"
+#include "membership.h"
+#include "reach_tracker.h"
+#include "readiness.h"
+#include "upstream_answer.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace banyancroft;
+using namespace banyancroft::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 1000s };
+
+Dialect testDialect()
+{
+    Dialect dialect;
+    dialect.headers = { "Request-Id", "Deadline", "Signature", "Expect", "Load", "Not-Run", "Retry-After",
+        "Upstream", "Cold", "Parts", "Lacking" };
+    return dialect;
+}
+
+http::ResponseHead head(unsigned status, std::vector<std::pair<std::string, std::string>> fields)
+{
+    http::ResponseHead result;
+    result.status = status;
+    for (const auto& [name, value] : fields)
+        result.fields.add(name, value);
+    return result;
+}
+
+std::string fieldOf(const http::Response& response, std::string_view name)
+{
+    for (const auto& [key, value] : response.fields) {
+        if (key == name)
+            return value;
+    }
+    return "";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(onlyASignedSuccessIsAResult)
+{
+    const auto dialect = testDialect();
+    const auto kind = [&](unsigned status, auto fields) { return classify(head(status, fields), dialect); };
+    using Fields = std::vector<std::pair<std::string, std::string>>;
+    BOOST_TEST((kind(200, Fields { { "Signature", "s" } }) == AnswerKind::Result));
+    BOOST_TEST((kind(200, Fields {}) == AnswerKind::Failure));
+    BOOST_TEST((kind(200, Fields { { "Signature", "" } }) == AnswerKind::Failure));
+    BOOST_TEST(
+        (kind(200, Fields { { "Signature", "s" }, { "Content-Encoding", "gzip" } }) == AnswerKind::Failure));
+    BOOST_TEST((kind(500, Fields { { "Signature", "s" } }) == AnswerKind::Failure));
+    BOOST_TEST((kind(503, Fields { { "Not-Run", "1" } }) == AnswerKind::Refused));
+    // Without the replica's own word the request may have run.
+    BOOST_TEST((kind(503, Fields {}) == AnswerKind::Failure));
+    BOOST_TEST((kind(421, Fields {}) == AnswerKind::Misdirected));
+}
+
+// A 503 of a replica that gave no promise must not reach the caller as a promise.
+BOOST_AUTO_TEST_CASE(aFailureThatWouldPromiseTooMuchBecomesABadGateway)
+{
+    const auto dialect = testDialect();
+    for (const unsigned status : { 408U, 421U, 429U, 503U }) {
+        const auto response = passOn(head(status, { { "Signature", "s" } }), "text", dialect);
+        BOOST_TEST(response.status == 502U);
+        // A failure with a signature has to bear the replica's own status.
+        BOOST_TEST(fieldOf(response, "Signature").empty());
+    }
+    const auto own = passOn(head(500, { { "Signature", "s" } }), "text", dialect);
+    BOOST_TEST(own.status == 500U);
+    BOOST_TEST(fieldOf(own, "Signature") == "s");
+    BOOST_TEST(own.body == "text");
+}
+
+BOOST_AUTO_TEST_CASE(aResultIsPassedOnWithoutTheGatewaysOwnFields)
+{
+    const auto response
+        = passOn(head(200,
+                     { { "Signature", "s" }, { "Load", "1,2,3" }, { "Upstream", "u" },
+                         { "Connection", "close" }, { "Content-Length", "4" }, { "X", "y" } }),
+            "body", testDialect());
+    BOOST_TEST(response.fields.size() == 2U);
+    BOOST_TEST(fieldOf(response, "X") == "y");
+}
+
+BOOST_AUTO_TEST_CASE(aGatherTellsItsPartsAndWhatItLacks)
+{
+    const std::string record(16, 'r');
+    const std::vector<Part> parts { { "s1", record }, { "", "" }, { "s2", record + record },
+        { "s1", record } };
+    const auto response = gatherAnswer(parts, 10, testDialect().headers);
+    BOOST_TEST(fieldOf(response, "Parts") == "s1, s2");
+    // The second part with the same signature counts as lacking, not as another part.
+    BOOST_TEST(fieldOf(response, "Lacking") == "2");
+    BOOST_TEST(response.body.size() == 48U);
+}
+
+BOOST_AUTO_TEST_CASE(coverageIsRoundedUpToWholeParts)
+{
+    BOOST_TEST(neededParts(10, 0.89) == 9U);
+    BOOST_TEST(neededParts(15, 0.89) == 14U);
+    BOOST_TEST(neededParts(10, 0.9) == 9U);
+    BOOST_TEST(neededParts(10, 0.75) == 8U);
+    BOOST_TEST(neededParts(36, 1.0) == 36U);
+    BOOST_TEST(neededParts(10, 0.0) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aVmIsReadyOnceItKnowsWhereToSend)
+{
+    ReadinessInputs inputs;
+    BOOST_TEST(!isReady(inputs));
+    inputs.hasConfiguration = true;
+    BOOST_TEST(!isReady(inputs));
+    inputs.hasRegistrations = true;
+    BOOST_TEST(isReady(inputs));
+    inputs.isCutOff = true;
+    BOOST_TEST(!isReady(inputs));
+    inputs.isCutOff = false;
+    inputs.isStopping = true;
+    BOOST_TEST(!isReady(inputs));
+}
+
+// Guards against connections that are refused before the balancer has noticed the stop.
+BOOST_AUTO_TEST_CASE(aStoppingVmAcceptsUntilTheBalancerHasNoticedAndThenFinishes)
+{
+    BOOST_TEST((stopStep(100ms, 6s, 0) == StopStep::KeepAccepting));
+    BOOST_TEST((stopStep(2s, 6s, 0) == StopStep::KeepAccepting));
+    BOOST_TEST((stopStep(3s, 6s, 2) == StopStep::Finish));
+    BOOST_TEST((stopStep(3s, 6s, 0) == StopStep::Exit));
+    BOOST_TEST((stopStep(5500ms, 6s, 2) == StopStep::Exit));
+}
+
+BOOST_AUTO_TEST_CASE(aVmThatFailsItsRequestsAndHearsNoOtherZoneIsCutOff)
+{
+    ReachTracker reach;
+    reach.otherZoneAnswered(start);
+    for (int i = 0; i < 8; ++i)
+        reach.unserved(start + 500ms + i * 20ms);
+    BOOST_TEST(reach.isCutOff(start + 700ms));
+    // It stays so without traffic, until a replica of another zone gives a sign.
+    BOOST_TEST(reach.isCutOff(start + 20s));
+    reach.otherZoneAnswered(start + 21s);
+    BOOST_TEST(!reach.isCutOff(start + 21s));
+}
+
+// All replicas of one shard are down: every VM fails alike, and none may leave the balancer.
+BOOST_AUTO_TEST_CASE(aShardThatIsDownEverywhereIsNoPartition)
+{
+    ReachTracker reach;
+    for (int i = 0; i < 50; ++i) {
+        reach.unserved(start + i * 20ms);
+        reach.otherZoneAnswered(start + i * 20ms);
+    }
+    BOOST_TEST(!reach.isCutOff(start + 1s));
+}
+
+BOOST_AUTO_TEST_CASE(aVmThatServesFromItsOwnZoneStaysInUse)
+{
+    ReachTracker reach;
+    for (int i = 0; i < 50; ++i)
+        i % 3 == 0 ? reach.unserved(start + i * 20ms) : reach.served(start + i * 20ms);
+    BOOST_TEST(!reach.isCutOff(start + 1s));
+    BOOST_TEST(!ReachTracker().isCutOff(start));
+}
+
+BOOST_AUTO_TEST_CASE(callersOfACutOffVmReturnWhenTheBalancerHasNoticed)
+{
+    BOOST_TEST((returnAfterCutOff(0ms, 50ms) > 2s));
+    BOOST_TEST((returnAfterCutOff(2s, 50ms) < 300ms));
+    BOOST_TEST((returnAfterCutOff(10s, 50ms) == 50ms));
+}
+
+// Shares of a limit must never add up to more than the whole while VMs come and go.
+BOOST_AUTO_TEST_CASE(aVmThatLeftCountsForSomeSeconds)
+{
+    MemberCount members(VmId("a"));
+    BOOST_TEST(members.count(start) == 1U);
+    members.listed({ VmId("a"), VmId("b"), VmId("c") }, start);
+    BOOST_TEST(members.count(start) == 3U);
+    members.joined(VmId("d"), start + 1s);
+    BOOST_TEST(members.count(start + 1s) == 4U);
+    members.left(VmId("b"), start + 2s);
+    BOOST_TEST(members.count(start + 3s) == 4U);
+    BOOST_TEST(members.count(start + 8s) == 3U);
+    members.joined(VmId("b"), start + 9s);
+    BOOST_TEST(members.count(start + 9s) == 4U);
+    // The own entry may lapse; the VM still counts itself.
+    members.listed({}, start + 10s);
+    BOOST_TEST(members.count(start + 20s) == 1U);
+}
--- /dev/null
+++ b/libs/routing/tests/test_route_table.cpp
@@ -0,0 +1,89 @@
+#include "routing/configuration_keeper.h"
+#include "routing/route_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace banyancroft;
+using namespace banyancroft::routing;
+
+namespace {
+
+Route routeTo(std::string host, std::string prefix, std::string service)
+{
+    Route route;
+    route.name = host + prefix;
+    route.host = std::move(host);
+    route.pathPrefix = std::move(prefix);
+    route.split.push_back({ ServiceId(std::move(service)), 1 });
+    return route;
+}
+
+Configuration version(std::uint64_t number, std::vector<Route> routes)
+{
+    Configuration configuration;
+    configuration.version = { number };
+    configuration.routes = std::move(routes);
+    return configuration;
+}
+
+std::string serviceFor(const RouteTable& table, std::string_view host, std::string_view target)
+{
+    const auto* route = table.match(host, target);
+    return route ? route->split.front().service.str() : "none";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(theLongestPrefixOfTheHostWins)
+{
+    const RouteTable table(version(1,
+        { routeTo("a.example", "/", "root"), routeTo("a.example", "/x/", "x"),
+            routeTo("a.example", "/x/y/", "xy"), routeTo("b.example", "/x/", "other") }));
+    BOOST_TEST(serviceFor(table, "a.example", "/x/y/2f") == "xy");
+    BOOST_TEST(serviceFor(table, "a.example", "/x/z") == "x");
+    BOOST_TEST(serviceFor(table, "a.example", "/xy/") == "root");
+    BOOST_TEST(serviceFor(table, "b.example", "/x/1") == "other");
+    BOOST_TEST(serviceFor(table, "b.example", "/y/") == "none");
+    BOOST_TEST(serviceFor(table, "c.example", "/x/") == "none");
+}
+
+// Guards against a query or a port that hides the route of a request.
+BOOST_AUTO_TEST_CASE(queryPortAndCaseOfTheHostDoNotMatter)
+{
+    const RouteTable table(version(1, { routeTo("a.example", "/x/", "x") }));
+    BOOST_TEST(serviceFor(table, "A.Example:8080", "/x/?path=/other/") == "x");
+    BOOST_TEST(serviceFor(table, "a.example", "/?/x/") == "none");
+    BOOST_TEST(serviceFor(table, "a.example", "") == "none");
+    BOOST_TEST(serviceFor(table, "", "/x/") == "none");
+}
+
+BOOST_AUTO_TEST_CASE(splitsFollowTheirWeights)
+{
+    Route route;
+    route.split = { { ServiceId("a"), 1 }, { ServiceId("none"), 0 }, { ServiceId("b"), 3 } };
+    int hits = 0;
+    for (int i = 0; i < 1000; ++i)
+        hits += pickService(route, i / 1000.0)->str() == "a";
+    BOOST_TEST(hits == 250);
+    BOOST_TEST(pickService(route, 0.999999)->str() == "b");
+    route.split = { { ServiceId("a"), 0 } };
+    BOOST_TEST(pickService(route, 0.5) == nullptr);
+}
+
+// Guards against a late answer of the store that would revert the configuration.
+BOOST_AUTO_TEST_CASE(anOlderVersionNeverReplacesANewerOne)
+{
+    const TimePoint start { std::chrono::seconds(100) };
+    ConfigurationKeeper keeper;
+    BOOST_TEST(!keeper.version());
+    BOOST_TEST(keeper.offer(version(7, { routeTo("a", "/", "seven") }), start));
+    const auto held = keeper.current();
+    BOOST_TEST(!keeper.offer(version(5, { routeTo("a", "/", "five") }), start + std::chrono::seconds(1)));
+    BOOST_TEST(!keeper.offer(version(7, { routeTo("a", "/", "again") }), start + std::chrono::seconds(1)));
+    BOOST_TEST(serviceFor(*keeper.current(), "a", "/") == "seven");
+    BOOST_TEST((keeper.acceptedAt() == start));
+    BOOST_TEST(keeper.offer(version(12, { routeTo("a", "/", "twelve") }), start + std::chrono::seconds(2)));
+    BOOST_TEST(serviceFor(*keeper.current(), "a", "/") == "twelve");
+    // A request that is under way keeps the version that it began with.
+    BOOST_TEST(serviceFor(*held, "a", "/") == "seven");
+}
--- /dev/null
+++ b/libs/upstreams/tests/test_placement.cpp
@@ -0,0 +1,227 @@
+#include "upstreams/placement.h"
+#include "upstreams/start_pacer.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace banyancroft;
+using namespace banyancroft::upstreams;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 1000s };
+constexpr Duration typical = 15ms;
+
+/** Three replicas of a shard in zones a, b and c, as seen from zone a. */
+struct Shard {
+    Registry registry { 2s, [](RegistryEvent, const Upstream&) {} };
+    std::map<std::uint64_t, bool> connectionFree;
+    bool mayStart = true;
+    double draw = 0;
+
+    Shard()
+    {
+        for (const std::string zone : { "a", "b", "c" }) {
+            UpstreamRecord record;
+            record.id = UpstreamId("in-" + zone);
+            record.service = ServiceId("shard");
+            record.address = "10.0.0.1";
+            record.port = static_cast<std::uint16_t>(80 + zone[0]);
+            record.zone = AvailabilityZone(zone);
+            record.slots = 3;
+            registry.apply({ record.id, record }, start);
+        }
+    }
+
+    Upstream& in(const std::string& zone)
+    {
+        for (const auto& upstream : registry.upstreams(ServiceId("shard"))) {
+            if (upstream->record.zone.str() == zone)
+                return *upstream;
+        }
+        throw std::logic_error("no replica in the zone");
+    }
+
+    Placement choose(TimePoint now, std::vector<std::uint64_t> tried = {})
+    {
+        PlacementHooks hooks;
+        hooks.connectDelay = [this](const Upstream& upstream) -> std::optional<Duration> {
+            const auto found = connectionFree.find(upstream.number);
+            if (found != connectionFree.end() && !found->second)
+                return std::nullopt;
+            return Duration::zero();
+        };
+        hooks.mayStart = [this](const Upstream&) { return mayStart; };
+        hooks.random = [this] { return draw; };
+        PlacementRequest request;
+        request.typical = typical;
+        request.ownZone = AvailabilityZone("a");
+        request.tried = tried;
+        return place(registry.upstreams(ServiceId("shard")), registry, request, hooks, now);
+    }
+
+    std::string zoneOf(const Placement& placement) const
+    {
+        return placement.upstream ? placement.upstream->record.zone.str() : "none";
+    }
+};
+
+/** Sends and answers `count` requests one after the other. */
+void answer(UpstreamHealth& health, TimePoint from, Duration time, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        const auto sentAt = from + i * (time + 1ms);
+        health.sent(sentAt);
+        health.answered(sentAt, sentAt + time, typical);
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(theOwnZoneIsUsedWhileItCostsNoWaiting)
+{
+    Shard shard;
+    BOOST_TEST(shard.zoneOf(shard.choose(start)) == "a");
+    shard.in("a").health.reported({ 3, 6, 3 }, start);
+    BOOST_TEST(shard.zoneOf(shard.choose(start)) != "a");
+}
+
+// A paused replica holds requests for 150 ms; the next request must not join them.
+BOOST_AUTO_TEST_CASE(aReplicaThatStandsStillIsPassedOver)
+{
+    Shard shard;
+    shard.in("a").health.sent(start);
+    BOOST_TEST(shard.zoneOf(shard.choose(start + 10ms)) == "a");
+    BOOST_TEST(shard.zoneOf(shard.choose(start + 80ms)) != "a");
+    shard.in("a").health.answered(start, start + 160ms, typical);
+    answer(shard.in("a").health, start + 161ms, 14ms, 12);
+    BOOST_TEST(shard.zoneOf(shard.choose(start + 400ms)) == "a");
+}
+
+// Replicas that turn slow (8 times the usual time) keep answering and stay registered.
+BOOST_AUTO_TEST_CASE(aSlowReplicaIsPassedOverAndTriedAgainLater)
+{
+    Shard shard;
+    answer(shard.in("a").health, start, 120ms, 4);
+    const auto after = start + 600ms;
+    BOOST_TEST(shard.zoneOf(shard.choose(after)) != "a");
+    BOOST_TEST(shard.in("a").health.slowness(after) > 3.0);
+    BOOST_TEST(shard.zoneOf(shard.choose(after + 30s)) == "a");
+}
+
+// Replicas that refuse every second request answer their health checks all the same.
+BOOST_AUTO_TEST_CASE(aReplicaThatRefusesIsRankedByItsRefusals)
+{
+    Shard shard;
+    for (int i = 0; i < 10; ++i) {
+        const auto sentAt = start + i * 10ms;
+        for (const std::string zone : { "a", "b" }) {
+            auto& health = shard.in(zone).health;
+            health.sent(sentAt);
+            if (i % 2 == 0) {
+                health.refused(sentAt, sentAt + 1ms);
+            } else {
+                health.answered(sentAt, sentAt + 15ms, typical);
+            }
+        }
+    }
+    BOOST_TEST(shard.in("a").health.refusalShare(start + 100ms) > 0.2);
+    BOOST_TEST(shard.zoneOf(shard.choose(start + 110ms)) == "c");
+}
+
+BOOST_AUTO_TEST_CASE(aReplicaThatRefusesConnectionsIsLeftOutUntilOneSucceeds)
+{
+    Shard shard;
+    auto& health = shard.in("a").health;
+    health.connectFailed(true, start);
+    BOOST_TEST(health.isSuspect(start));
+    BOOST_TEST(shard.zoneOf(shard.choose(start + 10s)) != "a");
+    BOOST_TEST(health.needsTrial(start + 1s));
+    health.connected(start + 1s);
+    BOOST_TEST(!health.isSuspect(start + 1s));
+    BOOST_TEST(shard.zoneOf(shard.choose(start + 2s)) == "a");
+}
+
+// One connection that times out may be a lost packet; one beside unanswered requests is not.
+BOOST_AUTO_TEST_CASE(silenceAndAFailedConnectionTogetherMakeAReplicaSuspect)
+{
+    UpstreamHealth health;
+    health.connectFailed(false, start);
+    BOOST_TEST(!health.isSuspect(start));
+    UpstreamHealth silent;
+    silent.sent(start);
+    BOOST_TEST(silent.needsTrial(start + 300ms));
+    silent.connectFailed(false, start + 400ms);
+    BOOST_TEST(silent.isSuspect(start + 400ms));
+}
+
+BOOST_AUTO_TEST_CASE(replicasOfAZoneTakenOutGetNothing)
+{
+    Shard shard;
+    shard.registry.setZonesOut({ AvailabilityZone("a"), AvailabilityZone("b") });
+    BOOST_TEST(shard.zoneOf(shard.choose(start)) == "c");
+    shard.registry.setZonesOut({ AvailabilityZone("a"), AvailabilityZone("b"), AvailabilityZone("c") });
+    BOOST_TEST(shard.zoneOf(shard.choose(start)) == "none");
+}
+
+BOOST_AUTO_TEST_CASE(aReplicaThatAnsweredAsAnotherIsNotAskedAgain)
+{
+    Shard shard;
+    shard.in("a").misdirected = true;
+    BOOST_TEST(shard.zoneOf(shard.choose(start)) != "a");
+}
+
+BOOST_AUTO_TEST_CASE(aRequestNeverGoesToTheSameReplicaTwice)
+{
+    Shard shard;
+    std::vector<std::uint64_t> tried;
+    for (int i = 0; i < 3; ++i) {
+        const auto placement = shard.choose(start, tried);
+        BOOST_REQUIRE(placement.upstream);
+        BOOST_TEST((std::find(tried.begin(), tried.end(), placement.upstream->number) == tried.end()));
+        tried.push_back(placement.upstream->number);
+    }
+    BOOST_TEST(shard.zoneOf(shard.choose(start, tried)) == "none");
+}
+
+BOOST_AUTO_TEST_CASE(busyConnectionsAreToldApartFromMissingReplicas)
+{
+    Shard shard;
+    for (const std::string zone : { "a", "b", "c" })
+        shard.connectionFree[shard.in(zone).number] = false;
+    const auto placement = shard.choose(start);
+    BOOST_TEST(!placement.upstream);
+    BOOST_TEST(placement.waitsForConnection);
+}
+
+// The load a replica tells ages within a few service times; an old report must not keep it away.
+BOOST_AUTO_TEST_CASE(oldLoadReportsLoseTheirWeight)
+{
+    UpstreamHealth health;
+    health.reported({ 3, 9, 3 }, start);
+    const auto fresh = health.expectedDelay(3, typical, start);
+    const auto old = health.expectedDelay(3, typical, start + 2s);
+    BOOST_TEST((fresh > 3 * typical));
+    BOOST_TEST((old < typical + 1ms));
+}
+
+BOOST_AUTO_TEST_CASE(aColdReplicaGetsNoMoreThanItsShareInAnySecond)
+{
+    StartPacer pacer;
+    std::vector<TimePoint> starts;
+    for (auto now = start; now < start + 5s; now += 7ms) {
+        if (pacer.mayStart(3.5, now)) {
+            pacer.started(now);
+            starts.push_back(now);
+        }
+    }
+    for (const auto from : starts) {
+        const auto within = std::count_if(
+            starts.begin(), starts.end(), [&](TimePoint at) { return at >= from && at < from + 1s; });
+        BOOST_TEST(within <= 3);
+    }
+    BOOST_TEST(starts.size() >= 12U);
+    BOOST_TEST(!StartPacer().mayStart(0.6, start));
+}
