Accept callers after the first listing; slack at once after a restart; poll pause from the bounds

Cause: after the restart of all VMs 59 requests were rejected in the 17 ms before the first listing, and the first requests could not be hedged since the slack grew from zero. Silent replicas of a healed zone were found up to 1 s late. Store calls and bytes between zones are priced.

--- a/libs/dispatch/include/dispatch/retry_budget.h
+++ b/libs/dispatch/include/dispatch/retry_budget.h
@@ -21,8 +21,8 @@
  *
  * Answers loads where many replicas are slow, refuse or fall silent at once and every request would like
  * to be sent again. The ratio is earned by this VM's own requests, so no VM has to know the traffic of the
- * others; only the slack is divided. A VM that has just started cannot know what it sent before, so its
- * share of the slack grows over the first window.
+ * others; only the slack is divided. A VM that has just started cannot know what it sent before, so less
+ * than half of the slack is used by one process.
  *
  * Owned by the traffic thread; counts in steps of a tenth of the window.
  */
--- a/libs/dispatch/src/retry_budget.cpp
+++ b/libs/dispatch/src/retry_budget.cpp
@@ -7,8 +7,11 @@
 namespace {
 
 constexpr long stepsPerWindow = 10;
-/** Part of the limit that is used; the rest covers requests that arrive in another window than they left. */
-constexpr double usedPart = 0.9;
+/** Part of the ratio that is used; the rest covers requests that arrive in another window than they left. */
+constexpr double usedRatio = 0.9;
+/** Part of the slack that is used. A process that has just started does not know what the one before it
+ * spent, so both together stay within the whole. */
+constexpr double usedSlack = 0.45;
 
 } // namespace
 
@@ -51,10 +54,7 @@
     unsigned requests = 0;
     for (const auto& entry : steps_)
         requests += entry.number >= first ? entry.requests : 0;
-    const double grown = std::min(1.0,
-        std::chrono::duration<double>(now - startedAt_).count()
-            / std::chrono::duration<double>(limit_.window).count());
-    return usedPart * (limit_.ratio * requests + grown * limit_.slack / std::max(1U, vms));
+    return usedRatio * limit_.ratio * requests + usedSlack * limit_.slack / std::max(1U, vms);
 }
 
 double RetryBudget::available(TimePoint now, unsigned vms) const
--- a/libs/gateway/src/front_server.cpp
+++ b/libs/gateway/src/front_server.cpp
@@ -56,10 +56,15 @@
             "end the process that holds the address, or change the setting" };
         return false;
     }
-    accept();
     return true;
 }
 
+void FrontServer::begin()
+{
+    begun_ = true;
+    accept();
+}
+
 void FrontServer::setLimits(const http::ReadLimits& limits, const CallerTimeouts& timeouts)
 {
     limits_ = limits;
@@ -68,7 +73,7 @@
 
 void FrontServer::accept()
 {
-    if (accepting_ || !acceptor_.is_open() || connections_.size() >= maxConnections_)
+    if (!begun_ || accepting_ || !acceptor_.is_open() || connections_.size() >= maxConnections_)
         return;
     accepting_ = true;
     acceptor_.async_accept([this](const error_code& failure, tcp::socket socket) {
--- a/libs/gateway/src/front_server.h
+++ b/libs/gateway/src/front_server.h
@@ -25,7 +25,10 @@
     FrontServer(const FrontServer&) = delete;
     FrontServer& operator=(const FrontServer&) = delete;
 
+    /** Binds; connections wait in the queue of the kernel until begin(). */
     bool listen(const ListenAddress& address, Error& reason);
+    /** Begins to accept connections. */
+    void begin();
     void setLimits(const http::ReadLimits& limits, const CallerTimeouts& timeouts);
     /** Each answer from now on ends its connection. */
     void stopKeepingConnections() { stopping_ = true; }
@@ -49,6 +52,7 @@
     http::ReadLimits limits_;
     CallerTimeouts timeouts_;
     bool stopping_ = false;
+    bool begun_ = false;
     bool accepting_ = false;
     std::unordered_set<std::shared_ptr<CallerConnection>> connections_;
 };
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -27,6 +27,8 @@
 constexpr Duration stopPeriod = std::chrono::milliseconds(20);
 /** Time to live of a registration: long enough to outlast short outages of the store. */
 constexpr Duration registrationLease = std::chrono::seconds(5);
+/** Connections wait this long for the first listing of the store, which usually takes some 20 ms. */
+constexpr Duration longestSilentStart = std::chrono::milliseconds(250);
 /** Connections to the readiness and metrics addresses. */
 constexpr std::size_t maxProbeConnections = 32;
 /** Part of the sockets that callers may use; the rest is for replicas and the store. */
@@ -81,6 +83,9 @@
         log(LogLevel::Info, "gateway", "started",
             { { "version", BANYANCROFT_VERSION }, { "zone", settings_.zone.str() },
                 { "callers", settings_.callers.address + ":" + std::to_string(settings_.callers.port) } });
+        startedAt_ = BootClock::now();
+        probes_.begin();
+        metricsServer_.begin();
         follower_.start();
         registration_.start();
         waitForSignal();
@@ -140,6 +145,7 @@
         members_.listed(vms, now);
         hasListed_ = true;
         noteMembers();
+        callers_.begin();
     }
 
     void applyChange(const store::KeyValue& entry)
@@ -306,6 +312,9 @@
     {
         const auto now = BootClock::now();
         traffic_.tick(now);
+        // Callers of a VM that still knows nothing are told so rather than kept waiting.
+        if (!hasListed_ && now - startedAt_ > longestSilentStart)
+            callers_.begin();
         callers_.expire(now);
         probes_.expire(now);
         metricsServer_.expire(now);
@@ -335,6 +344,7 @@
     boost::asio::signal_set signals_;
     boost::asio::steady_timer tickTimer_;
     boost::asio::steady_timer stopTimer_;
+    TimePoint startedAt_ {};
     TimePoint stoppedAt_ {};
     bool hasListed_ = false;
     bool stopping_ = false;
--- a/libs/upstreams/src/health.cpp
+++ b/libs/upstreams/src/health.cpp
@@ -27,8 +27,8 @@
 constexpr Duration silenceBeforeTrial = std::chrono::milliseconds(200);
 /** Signs of silence in a row before a replica is suspect. */
 constexpr unsigned suspectStreak = 2;
-constexpr Duration firstTrialDelay = std::chrono::milliseconds(250);
-constexpr Duration longestTrialDelay = std::chrono::seconds(1);
+constexpr Duration firstTrialDelay = std::chrono::milliseconds(200);
+constexpr Duration longestTrialDelay = std::chrono::milliseconds(400);
 
 double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
--- a/libs/upstreams/src/placement.cpp
+++ b/libs/upstreams/src/placement.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /** Surcharge for another availability zone in usual answer times: its link delay and priced bytes. */
-constexpr double otherZoneCost = 0.4;
+constexpr double otherZoneCost = 0.8;
 /** Random part of the score in usual answer times, so that VMs with equal knowledge spread out. */
 constexpr double spread = 0.3;
 /** Replicas that were tried before are used only when nothing else is left. */
