--- a/libs/upstreams/src/health.cpp
+++ b/libs/upstreams/src/health.cpp
@@ -15,10 +15,12 @@
 constexpr double loadMemorySeconds = 0.1;
 /** A slower answer is no better news than this multiple of the usual time. */
 constexpr double largestExcess = 30;
+/** Cost of one round of waiting for a slot in answer times: queues of all VMs grow before any report. */
+constexpr double queueCost = 3;
 /** Cost of a refusal in usual answer times: a second send, the budget it takes and the wait before it. */
-constexpr double refusalCost = 6;
+constexpr double refusalCost = 20;
 /** Cost of a failure in usual answer times: it is noticed later than a refusal. */
-constexpr double failureCost = 12;
+constexpr double failureCost = 30;
 /** A request without an answer for this multiple of the usual time shows that the replica stands still. */
 constexpr double stallFactor = 4;
 /** Shortest time without an answer that counts as standing still; below it lies scheduling noise. */
@@ -159,10 +161,10 @@
 {
     const double ahead = othersLoad(now) + outstanding();
     const double slotCount = std::max(1U, slots);
-    const double rounds = 1 + std::max(0.0, ahead + 1 - slotCount) / slotCount;
+    const double waiting = std::max(0.0, ahead + 1 - slotCount) / slotCount;
     const double usual = std::max(0.1, slowness(now));
     const double extra = refusalCost * refusals_.value(now) + failureCost * failures_.value(now);
-    auto delay = scaled(typical, usual * rounds + extra);
+    auto delay = scaled(typical, usual * (1 + queueCost * waiting) + extra);
     const auto stalledFor = oldestAge(now);
     // A replica that has been still for some time is expected to stay so for about as long again.
     if (stalledFor > std::max(leastStall, scaled(typical, stallFactor * usual)))
--- a/libs/upstreams/src/placement.cpp
+++ b/libs/upstreams/src/placement.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/** Surcharge for another availability zone in usual answer times: its link delay and priced bytes. */
-constexpr double otherZoneCost = 0.8;
+/** Surcharge for another availability zone in usual answer times: its link delay and priced bytes. It is
+ * less than the cost of a queue, a refusal or a slow replica. */
+constexpr double otherZoneCost = 3;
 /** Random part of the score in usual answer times, so that VMs with equal knowledge spread out. */
 constexpr double spread = 0.3;
 /** Replicas that were tried before are used only when nothing else is left. */
