--- a/libs/dispatch/include/dispatch/request_plan.h
+++ b/libs/dispatch/include/dispatch/request_plan.h
@@ -100,7 +100,8 @@
         bool done = false;
         bool failed = false;
         bool unavailable = false;
-        TimePoint lastSendAt {};
+        /** From then on a second copy is worth its budget. */
+        TimePoint hedgeAt {};
         TimePoint blockedUntil {};
     };
 
--- a/libs/dispatch/src/request_plan.cpp
+++ b/libs/dispatch/src/request_plan.cpp
@@ -52,7 +52,7 @@
         // A second copy beside the first, which may still answer.
         if (!rules_.repeatable || shard.sends >= rules_.maxUpstreams)
             return step;
-        due = std::max(due, shard.lastSendAt + hedgeDelay_(index));
+        due = std::max(due, shard.hedgeAt);
         step.repeat = true;
     }
     step.until = due;
@@ -94,7 +94,7 @@
     auto& entry = shards_[shard];
     ++entry.sends;
     ++entry.connecting;
-    entry.lastSendAt = now;
+    entry.hedgeAt = now + hedgeDelay_(shard);
 }
 
 void RequestPlan::connectFailed(std::size_t shard)
@@ -114,7 +114,7 @@
     }
     ++entry.outstanding;
     ++entry.offered;
-    entry.lastSendAt = now;
+    entry.hedgeAt = now + hedgeDelay_(shard);
 }
 
 void RequestPlan::answered(std::size_t shard)
--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -131,17 +131,17 @@
     read();
 }
 
-void CallerConnection::expire(const CallerTimeouts& timeouts, TimePoint now)
+bool CallerConnection::isOverdue(const CallerTimeouts& timeouts, TimePoint now) const
 {
     if (closed_ || isBusy())
-        return;
-    if (!reader_.hasStarted()) {
-        if (now - since_ > timeouts.idle)
-            close();
-        return;
-    }
-    if (now - since_ <= timeouts.header)
-        return;
+        return false;
+    return now - since_ > (reader_.hasStarted() ? timeouts.header : timeouts.idle);
+}
+
+void CallerConnection::expire()
+{
+    if (!reader_.hasStarted())
+        return close();
     http::Response response;
     response.status = statusRequestTimeout;
     waiting_ = true;
--- a/libs/gateway/src/caller_connection.h
+++ b/libs/gateway/src/caller_connection.h
@@ -53,8 +53,10 @@
     void respond(const http::Response& response, bool close);
     /** Called when the caller leaves before its answer; cleared by respond(). */
     void onGone(std::function<void()> gone) { gone_ = std::move(gone); }
-    /** Ends a connection that is slow with a request or idle for too long. */
-    void expire(const CallerTimeouts& timeouts, TimePoint now);
+    /** True when the caller is slow with a request or idle for too long. */
+    bool isOverdue(const CallerTimeouts& timeouts, TimePoint now) const;
+    /** Closes an idle connection; answers 408 to a request that was not read in time. */
+    void expire();
     void close();
 
     /** True while a request that was read in whole has no complete answer. */
--- a/libs/gateway/src/front_server.cpp
+++ b/libs/gateway/src/front_server.cpp
@@ -113,9 +113,14 @@
 
 void FrontServer::expire(TimePoint now)
 {
-    const auto open = connections_;
-    for (const auto& connection : open)
-        connection->expire(timeouts_, now);
+    // Connections leave the set when they close, so the ones that are due are collected first.
+    std::vector<std::shared_ptr<CallerConnection>> due;
+    for (const auto& connection : connections_) {
+        if (connection->isOverdue(timeouts_, now))
+            due.push_back(connection);
+    }
+    for (const auto& connection : due)
+        connection->expire();
 }
 
 std::size_t FrontServer::busyCount() const
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -23,7 +23,7 @@
 using telemetry::LogLevel;
 
 /** Resolution of timeouts that are not set for a single request. */
-constexpr Duration tickPeriod = std::chrono::milliseconds(50);
+constexpr Duration tickPeriod = std::chrono::milliseconds(100);
 constexpr Duration stopPeriod = std::chrono::milliseconds(20);
 /** Time to live of a registration: long enough to outlast short outages of the store. */
 constexpr Duration registrationLease = std::chrono::seconds(5);
--- a/libs/gateway/src/traffic.cpp
+++ b/libs/gateway/src/traffic.cpp
@@ -204,6 +204,7 @@
     for (auto& [number, connectionPool] : pools_)
         connectionPool->expire(now);
     trySilentReplicas(now);
+    removeUnusedPools();
 }
 
 void Traffic::trySilentReplicas(TimePoint now)
@@ -211,41 +212,49 @@
     const auto routes = configuration_.current();
     if (!routes)
         return;
-    std::unordered_map<std::uint64_t, bool> listed;
     for (const auto& service : routes->configuration().services) {
         for (const auto& upstream : registry_.upstreams(service.id)) {
-            listed[upstream->number] = true;
-            auto& connectionPool = pool(upstream);
-            const bool due = upstream->health.needsTrial(now) && now >= upstream->health.nextTrial();
-            if (!due || connectionPool.isConnecting())
-                continue;
-            upstream->health.trialStarted(now);
-            metrics_.connections.add();
-            connectionPool.connect(now, [this, upstream](auto connection) {
-                const bool reached = connection != nullptr;
-                log(LogLevel::Info, "health",
-                    reached ? "silent upstream takes connections" : "upstream is silent",
-                    { { "upstream", upstream->record.id.str() },
-                        { "outstanding", std::to_string(upstream->health.outstanding()) } });
-                if (reached && upstream->record.zone != settings_.zone)
-                    reach_.otherZoneAnswered(BootClock::now());
-                // More than one idle connection would only wait for its timeout.
-                auto& ownPool = pool(upstream);
-                if (reached && ownPool.hasIdle()) {
-                    connection->abandon();
-                } else if (reached) {
-                    ownPool.putBack(connection);
-                }
-            });
+            if (upstream->health.needsTrial(now) && now >= upstream->health.nextTrial())
+                trySilentReplica(upstream, now);
         }
     }
-    std::erase_if(pools_, [&listed](const auto& entry) {
-        if (listed.contains(entry.first))
+}
+
+void Traffic::trySilentReplica(const upstreams::UpstreamPointer& upstream, TimePoint now)
+{
+    auto& connectionPool = pool(upstream);
+    if (connectionPool.isConnecting())
+        return;
+    upstream->health.trialStarted(now);
+    metrics_.connections.add();
+    connectionPool.connect(now, [this, upstream](auto connection) {
+        const bool reached = connection != nullptr;
+        log(LogLevel::Info, "health", reached ? "silent upstream takes connections" : "upstream is silent",
+            { { "upstream", upstream->record.id.str() },
+                { "outstanding", std::to_string(upstream->health.outstanding()) } });
+        if (!reached)
+            return;
+        if (upstream->record.zone != settings_.zone)
+            reach_.otherZoneAnswered(BootClock::now());
+        // More than one idle connection would only wait for its timeout.
+        auto& ownPool = pool(upstream);
+        if (ownPool.hasIdle()) {
+            connection->abandon();
+        } else {
+            ownPool.putBack(connection);
+        }
+    });
+}
+
+void Traffic::removeUnusedPools()
+{
+    std::erase_if(pools_, [](const auto& entry) {
+        if (entry.second->isInUse())
             return false;
         entry.second->retire();
         return entry.second->isUnused();
     });
-    std::erase_if(pacers_, [&listed](const auto& entry) { return !listed.contains(entry.first); });
+    std::erase_if(pacers_, [this](const auto& entry) { return !pools_.contains(entry.first); });
 }
 
 bool Traffic::isServable(const routing::Route& route, std::size_t needed, TimePoint now) const
--- a/libs/gateway/src/traffic.h
+++ b/libs/gateway/src/traffic.h
@@ -105,6 +105,9 @@
 
 private:
     void trySilentReplicas(TimePoint now);
+    void trySilentReplica(const upstreams::UpstreamPointer& upstream, TimePoint now);
+    /** Closes the connections of replicas that get no new requests. */
+    void removeUnusedPools();
     double coldShare(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const;
     void registryChanged(upstreams::RegistryEvent event, const upstreams::Upstream& upstream);
 
--- a/libs/gateway/src/upstream_connection.cpp
+++ b/libs/gateway/src/upstream_connection.cpp
@@ -181,14 +181,15 @@
     finish(end, nullptr);
 }
 
-void UpstreamConnection::expire(TimePoint now)
+bool UpstreamConnection::isOverdue(TimePoint now) const
 {
-    if (!open_ && !closed_ && now >= connectDeadline_)
-        return closeWith(ExchangeEnd::TimedOut);
-    if (exchange_ && now >= exchange_->deadline)
-        closeWith(ExchangeEnd::TimedOut);
+    if (!open_ && !closed_)
+        return now >= connectDeadline_;
+    return exchange_ && now >= exchange_->deadline;
 }
 
+void UpstreamConnection::expire() { closeWith(ExchangeEnd::TimedOut); }
+
 void UpstreamConnection::abandon() { closeWith(ExchangeEnd::Abandoned); }
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/upstream_connection.h
+++ b/libs/gateway/src/upstream_connection.h
@@ -70,8 +70,10 @@
         std::function<void(const boost::system::error_code&)> handler);
     /** The handler runs once, never inside this call. The connection has to be idle. */
     void send(Exchange exchange, ExchangeHandler handler);
-    /** Ends a connecting or busy connection whose deadline has passed. */
-    void expire(TimePoint now);
+    /** True when the connection could not be opened in time or has no answer by the deadline. */
+    bool isOverdue(TimePoint now) const;
+    /** Closes the connection; an open exchange ends as TimedOut. */
+    void expire();
     /** Closes the connection; an open exchange ends as Abandoned. */
     void abandon();
 
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -131,14 +131,18 @@
 
 void UpstreamPool::expire(TimePoint now)
 {
-    const auto all = connections_;
-    for (const auto& connection : all)
-        connection->expire(now);
-    const auto idle = idle_;
-    for (const auto& connection : idle) {
+    // Connections leave the list when they close, so the ones that are due are collected first.
+    std::vector<std::shared_ptr<UpstreamConnection>> due;
+    for (const auto& connection : connections_) {
+        if (connection->isOverdue(now))
+            due.push_back(connection);
+    }
+    for (const auto& connection : idle_) {
         if (!connection->isFresh(now))
-            connection->abandon();
+            due.push_back(connection);
     }
+    for (const auto& connection : due)
+        connection->expire();
 }
 
 void UpstreamPool::retire()
--- a/libs/gateway/src/upstream_pool.h
+++ b/libs/gateway/src/upstream_pool.h
@@ -48,6 +48,8 @@
 
     std::size_t openCount() const { return connections_.size(); }
     bool isUnused() const { return connections_.empty(); }
+    /** False once the replica drains, is gone or was replaced. */
+    bool isInUse() const { return upstream_->usable; }
     /** Usual time to open a connection. */
     Duration handshake() const { return handshake_; }
     bool hasIdle() const { return !idle_.empty(); }
