Pace cold replicas over few requests a second; take over changed settings

Cause: where a cold replica bears less than one request a second from each VM, no VM would have sent any, and a service of which all replicas are cold would have been refused as unavailable. Settings may change with SIGHUP or without a signal; they were read at the start only. Change: coldShare() by rendezvous hashing (moved to base, used by membership too), a cold replica is waited for; limits and delays of changed settings come into force within 5 s. Tests: allVmsTogetherSendAColdReplicaWhatItBears, aColdReplicaIsWaitedFor, changedSettingsAreTakenOverOnASignal.

--- a/libs/dispatch/include/dispatch/retry_budget.h
+++ b/libs/dispatch/include/dispatch/retry_budget.h
@@ -30,6 +30,8 @@
 public:
     RetryBudget(const RetryLimit& limit, TimePoint startedAt);
 
+    /** Replaces the limit; what was counted stays. */
+    void setLimit(const RetryLimit& limit) { limit_ = limit; }
     /** Counts a request for the service, sent or not. */
     void earn(TimePoint now);
     /**
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -34,7 +34,11 @@
 
     /** Binds the listeners and begins to follow the store; false with a reason when an address is taken. */
     bool start(Error& reason);
-    /** Called on SIGHUP; reads the settings again. Empty with a reason when they cannot be read. */
+    /**
+     * Reads the settings again; called on SIGHUP and every few seconds, since they may change without a
+     * signal. Empty when they are the same as before, or with a reason when they cannot be used. Limits
+     * and delays come into force at once, addresses at the next start.
+     */
     void onReload(std::function<std::optional<Settings>(Error&)> reload);
 
 private:
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -24,6 +24,8 @@
 
 /** Resolution of timeouts that are not set for a single request. */
 constexpr Duration tickPeriod = std::chrono::milliseconds(100);
+/** Settings may change without a signal. */
+constexpr Duration reloadPeriod = std::chrono::seconds(5);
 constexpr Duration stopPeriod = std::chrono::milliseconds(20);
 /** Time to live of a registration: long enough to outlast short outages of the store. */
 constexpr Duration registrationLease = std::chrono::seconds(5);
@@ -202,12 +204,12 @@
 
     void noteMembers()
     {
-        const auto vms = members_.count(BootClock::now());
-        if (vms == traffic_.liveVms())
+        auto vms = members_.live(BootClock::now());
+        if (vms == traffic_.vms())
             return;
         log(LogLevel::Info, "membership", "number of live VMs changed",
-            { { "before", std::to_string(traffic_.liveVms()) }, { "now", std::to_string(vms) } });
-        traffic_.setLiveVms(vms);
+            { { "before", std::to_string(traffic_.liveVms()) }, { "now", std::to_string(vms.size()) } });
+        traffic_.setVms(std::move(vms));
     }
 
     bool isReadyNow(TimePoint now)
@@ -269,11 +271,23 @@
 
     void reload()
     {
+        nextReload_ = BootClock::now() + reloadPeriod;
+        if (!reload_)
+            return;
         Error reason;
-        const auto settings = reload_ ? reload_(reason) : std::nullopt;
-        log(settings ? LogLevel::Info : LogLevel::Warn, "gateway",
-            settings ? "settings read again" : "settings cannot be read again, the old ones stay",
-            { { "reason", toString(reason) } });
+        const auto settings = reload_(reason);
+        if (reason) {
+            log(LogLevel::Warn, "gateway", "settings cannot be read again, the old ones stay",
+                { { "reason", toString(reason) } });
+        }
+        if (!settings)
+            return;
+        traffic_.applySettings(*settings);
+        settings_.stopGrace = settings->stopGrace;
+        log(LogLevel::Info, "gateway", "settings read again",
+            { { "retry_ratio", std::to_string(settings->retries.ratio) },
+                { "retry_slack", std::to_string(settings->retries.slack) },
+                { "stop_grace_ms", std::to_string(toMillis(settings->stopGrace)) } });
     }
 
     void beginStop()
@@ -319,6 +333,8 @@
         probes_.expire(now);
         metricsServer_.expire(now);
         noteMembers();
+        if (now >= nextReload_)
+            reload();
         telemetry::flushLog();
         tickTimer_.expires_after(tickPeriod);
         tickTimer_.async_wait([this](const boost::system::error_code& failure) {
@@ -328,7 +344,7 @@
     }
 
     boost::asio::io_context& ioContext_;
-    const Settings settings_;
+    Settings settings_;
     const Dialect dialect_;
     const StoreLayout layout_;
     telemetry::Metrics metrics_;
@@ -346,6 +362,7 @@
     boost::asio::steady_timer stopTimer_;
     TimePoint startedAt_ {};
     TimePoint stoppedAt_ {};
+    TimePoint nextReload_ {};
     bool hasListed_ = false;
     bool stopping_ = false;
     bool wasReady_ = false;
--- a/libs/gateway/src/membership.cpp
+++ b/libs/gateway/src/membership.cpp
@@ -2,8 +2,6 @@
 
 #include "telemetry/log.h"
 
-#include <algorithm>
-
 namespace banyancroft::gateway {
 
 namespace {
@@ -43,11 +41,14 @@
         joined(vm, now);
 }
 
-unsigned MemberCount::count(TimePoint now) const
+std::set<VmId> MemberCount::live(TimePoint now) const
 {
-    const auto others = std::count_if(vms_.begin(), vms_.end(),
-        [&](const auto& entry) { return entry.first != self_ && entry.second > now; });
-    return static_cast<unsigned>(others) + 1;
+    std::set<VmId> vms { self_ };
+    for (const auto& [vm, until] : vms_) {
+        if (until > now)
+            vms.insert(vm);
+    }
+    return vms;
 }
 
 Registration::Registration(
--- a/libs/gateway/src/membership.h
+++ b/libs/gateway/src/membership.h
@@ -25,7 +25,8 @@
     void left(const VmId& vm, TimePoint now);
     /** Replaces what is known; VMs that are not listed have left. */
     void listed(const std::set<VmId>& vms, TimePoint now);
-    unsigned count(TimePoint now) const;
+    /** VMs that share the limits, this one included. */
+    std::set<VmId> live(TimePoint now) const;
 
 private:
     VmId self_;
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -22,8 +22,8 @@
 
 /** Time between the decision to answer and the last byte on the link of the VM. */
 constexpr Duration answerMargin = std::chrono::milliseconds(3);
-/** A shard without a free connection is looked at again after this time. */
-constexpr Duration connectionRetry = std::chrono::milliseconds(3);
+/** A shard whose replicas are busy or cold is looked at again after this time. */
+constexpr Duration busyRetry = std::chrono::milliseconds(3);
 /** A repeat without budget is looked at again after this time. */
 constexpr Duration budgetRetry = std::chrono::milliseconds(20);
 /** A connection that takes this multiple of its usual time makes room for another replica. */
@@ -236,8 +236,8 @@
     }
     const auto placement = traffic_.place(service, typical(), tried, *routes_, now);
     if (!placement.upstream) {
-        if (placement.waitsForConnection)
-            return plan_->blocked(step.shard, now + connectionRetry);
+        if (placement.canWait)
+            return plan_->blocked(step.shard, now + busyRetry);
         traffic_.requestLog().write(now, "no replica can take the request",
             { { "id", id_ }, { "service", service.str() }, { "tried", std::to_string(tried.size()) },
                 { "registered", std::to_string(traffic_.registry().upstreams(service).size()) } });
--- a/libs/gateway/src/traffic.cpp
+++ b/libs/gateway/src/traffic.cpp
@@ -2,6 +2,7 @@
 
 #include "telemetry/log.h"
 #include "upstream_answer.h"
+#include "upstreams/cold_share.h"
 
 #include <limits>
 
@@ -104,20 +105,30 @@
     return budgets_.emplace(service, dispatch::RetryBudget(settings_.retries, startedAt_)).first->second;
 }
 
+void Traffic::applySettings(const Settings& settings)
+{
+    settings_.retries = settings.retries;
+    settings_.coldOvershoot = settings.coldOvershoot;
+    settings_.coldSlack = settings.coldSlack;
+    settings_.callerDelay = settings.callerDelay;
+    for (auto& [service, budget] : budgets_)
+        budget.setLimit(settings.retries);
+}
+
 double Traffic::budgetLeft(const ServiceId& service, TimePoint now)
 {
     /** Repeats that are plenty for a VM's traffic of a second or two. */
     constexpr double plenty = 8;
-    return std::clamp(budget(service).available(now, liveVms_) / plenty, 0.0, 1.0);
+    return std::clamp(budget(service).available(now, liveVms()) / plenty, 0.0, 1.0);
 }
 
-double Traffic::coldShare(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const
+double Traffic::coldRate(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const
 {
     const auto* service = routes.service(upstream.record.service);
     if (!service || service->coldRequestsPerSecond <= 0)
         return std::numeric_limits<double>::infinity();
     const double bears = service->coldRequestsPerSecond * settings_.coldOvershoot + settings_.coldSlack;
-    return usedColdRate * bears / liveVms_;
+    return upstreams::coldShare(upstream.record.id, usedColdRate * bears, vms_, settings_.vm);
 }
 
 upstreams::Placement Traffic::place(const ServiceId& service, Duration typical,
@@ -126,7 +137,7 @@
     const auto* declared = routes.service(service);
     const double connections = declared ? declared->maxConnections : 1;
     const auto limit
-        = std::max<std::size_t>(1, static_cast<std::size_t>(usedConnections * connections / liveVms_));
+        = std::max<std::size_t>(1, static_cast<std::size_t>(usedConnections * connections / liveVms()));
     const auto candidates = registry_.upstreams(service);
     upstreams::PlacementHooks hooks;
     hooks.connectDelay = [&](const upstreams::Upstream& upstream) -> std::optional<Duration> {
@@ -137,7 +148,7 @@
         return connectionPool.connectDelay(now);
     };
     hooks.mayStart = [&](const upstreams::Upstream& upstream) {
-        return !upstream.isCold(now) || pacers_[upstream.number].mayStart(coldShare(upstream, routes), now);
+        return !upstream.isCold(now) || pacers_[upstream.number].mayStart(coldRate(upstream, routes), now);
     };
     hooks.random = [this] { return randomShare(); };
     upstreams::PlacementRequest request;
--- a/libs/gateway/src/traffic.h
+++ b/libs/gateway/src/traffic.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -73,6 +74,8 @@
     const Dialect& dialect() const { return dialect_; }
     const Settings& settings() const { return settings_; }
     TrafficMetrics& metrics() { return metrics_; }
+    /** Takes over limits and delays; addresses stay those of the start. */
+    void applySettings(const Settings& settings);
     RequestLog& requestLog() { return requestLog_; }
     boost::asio::io_context& ioContext() { return ioContext_; }
 
@@ -92,8 +95,9 @@
     double budgetLeft(const ServiceId& service, TimePoint now);
 
     /** Live VMs that share limits with this one, itself included. */
-    void setLiveVms(unsigned vms) { liveVms_ = std::max(1U, vms); }
-    unsigned liveVms() const { return liveVms_; }
+    void setVms(std::set<VmId> vms) { vms_ = std::move(vms); }
+    const std::set<VmId>& vms() const { return vms_; }
+    unsigned liveVms() const { return std::max(1U, static_cast<unsigned>(vms_.size())); }
 
     /** Ends overdue work and tries silent replicas; to be called every few hundred milliseconds. */
     void tick(TimePoint now);
@@ -108,11 +112,12 @@
     void trySilentReplica(const upstreams::UpstreamPointer& upstream, TimePoint now);
     /** Closes the connections of replicas that get no new requests. */
     void removeUnusedPools();
-    double coldShare(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const;
+    /** Requests per second that this VM may send to the replica while it is cold. */
+    double coldRate(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const;
     void registryChanged(upstreams::RegistryEvent event, const upstreams::Upstream& upstream);
 
     boost::asio::io_context& ioContext_;
-    const Settings settings_;
+    Settings settings_;
     const Dialect dialect_;
     const TimePoint startedAt_;
     TrafficMetrics metrics_;
@@ -126,7 +131,7 @@
     std::mt19937_64 random_;
     std::uniform_real_distribution<double> uniform_ { 0, 1 };
     ReachTracker reach_;
-    unsigned liveVms_ = 1;
+    std::set<VmId> vms_;
 };
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/tests/test_decisions.cpp
+++ b/libs/gateway/tests/test_decisions.cpp
@@ -177,17 +177,17 @@
 BOOST_AUTO_TEST_CASE(aVmThatLeftCountsForSomeSeconds)
 {
     MemberCount members(VmId("a"));
-    BOOST_TEST(members.count(start) == 1U);
+    BOOST_TEST(members.live(start).size() == 1U);
     members.listed({ VmId("a"), VmId("b"), VmId("c") }, start);
-    BOOST_TEST(members.count(start) == 3U);
+    BOOST_TEST(members.live(start).size() == 3U);
     members.joined(VmId("d"), start + 1s);
-    BOOST_TEST(members.count(start + 1s) == 4U);
+    BOOST_TEST(members.live(start + 1s).size() == 4U);
     members.left(VmId("b"), start + 2s);
-    BOOST_TEST(members.count(start + 3s) == 4U);
-    BOOST_TEST(members.count(start + 8s) == 3U);
+    BOOST_TEST(members.live(start + 3s).size() == 4U);
+    BOOST_TEST(members.live(start + 8s).size() == 3U);
     members.joined(VmId("b"), start + 9s);
-    BOOST_TEST(members.count(start + 9s) == 4U);
+    BOOST_TEST(members.live(start + 9s).size() == 4U);
     // The own entry may lapse; the VM still counts itself.
     members.listed({}, start + 10s);
-    BOOST_TEST(members.count(start + 20s) == 1U);
+    BOOST_TEST(members.live(start + 20s).size() == 1U);
 }
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -354,6 +354,30 @@
     BOOST_TEST(replica.arrivals() == 3);
 }
 
+// SIGHUP must neither cut requests nor leave old limits in force.
+BOOST_AUTO_TEST_CASE(changedSettingsAreTakenOverOnASignal)
+{
+    GatewayWorld world;
+    world.replica("ledger", "r1", serves("data"));
+    world.configure(configurationOf({ singleRoute(true) }));
+    BOOST_TEST(world.callWhenReady(GatewayWorld::request("/lookup/1", "id")).status == 200U);
+    int reloads = 0;
+    world.gateway->onReload([&](Error& reason) -> std::optional<Settings> {
+        ++reloads;
+        if (reloads == 1) {
+            reason = { ErrorKind::InvalidInput, "wrong", "correct it" };
+            return std::nullopt;
+        }
+        return world.settings;
+    });
+    for (int i = 1; i <= 2; ++i) {
+        ::kill(::getpid(), SIGHUP);
+        while (reloads < i)
+            world.ioContext.run_for(5ms);
+        BOOST_TEST(world.callWhenReady(GatewayWorld::request("/lookup/1", "id")).status == 200U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(metricsAreServedOnTheirAddress)
 {
     GatewayWorld world;
--- a/libs/http/tests/test_messages.cpp
+++ b/libs/http/tests/test_messages.cpp
@@ -30,7 +30,7 @@
 }
 
 constexpr std::string_view chunkedPost
-    = "POST /a/b?c=1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 12\r\n"
+    = "POST /a/b?c=1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: 12\r\n"
       "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n";
 
 } // namespace
@@ -43,7 +43,7 @@
         BOOST_TEST((read.state == ReadState::Complete));
         BOOST_TEST(reader.request().method == "POST");
         BOOST_TEST(reader.request().target == "/a/b?c=1");
-        BOOST_TEST(*reader.request().fields.find("x-attempt-id") == "12");
+        BOOST_TEST(*reader.request().fields.find("request-id") == "12");
         BOOST_TEST(reader.body() == "hello world");
         BOOST_TEST(reader.keepsAlive());
         // The bytes of the next request stay unread.
@@ -115,15 +115,15 @@
 {
     MessageReader reader(MessageReader::Kind::Request, {});
     feed(reader,
-        "POST /a HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: 900\r\nX-Own: yes\r\nX-Hop: 1\r\n"
+        "POST /a HTTP/1.1\r\nHost: h\r\nDeadline: 900\r\nX-Own: yes\r\nX-Hop: 1\r\n"
         "Connection: keep-alive, X-Hop\r\nKeep-Alive: timeout=3\r\nTransfer-Encoding: chunked\r\n\r\n"
         "3\r\nabc\r\n0\r\n\r\n",
         1000);
-    const std::array<Field, 1> replaced { Field { "X-Deadline-Ms", "850" } };
+    const std::array<Field, 1> replaced { Field { "Deadline", "850" } };
     const auto text = serialiseRequest(
         reader.request().method, reader.request().target, reader.request().fields, replaced, reader.body());
-    BOOST_TEST(text
-        == "POST /a HTTP/1.1\r\nHost: h\r\nX-Own: yes\r\nX-Deadline-Ms: 850\r\nContent-Length: 3\r\n\r\nabc");
+    BOOST_TEST(
+        text == "POST /a HTTP/1.1\r\nHost: h\r\nX-Own: yes\r\nDeadline: 850\r\nContent-Length: 3\r\n\r\nabc");
 }
 
 BOOST_AUTO_TEST_CASE(aResponseTellsItsLengthAndItsClose)
--- a/libs/membership/src/rendezvous.cpp
+++ b/libs/membership/src/rendezvous.cpp
@@ -1,7 +1,7 @@
+#include "base/rendezvous.h"
 #include "membership/view.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace banyancroft::membership {
 
@@ -18,13 +18,6 @@
     }
 };
 
-std::uint64_t seedOf(const VmId& vm) { return XXH3_64bits(vm.view().data(), vm.view().size()); }
-
-std::uint64_t weightOf(std::uint64_t seed, std::string_view name)
-{
-    return XXH3_64bits_withSeed(name.data(), name.size(), seed);
-}
-
 std::vector<const Member*> ordered(std::string_view name, const View& view, std::size_t count)
 {
     std::vector<Weighted> weighted;
@@ -43,21 +36,21 @@
 
 } // namespace
 
-std::uint64_t weight(const VmId& vm, std::string_view name) { return weightOf(seedOf(vm), name); }
+std::uint64_t weight(const VmId& vm, std::string_view name) { return rendezvousWeight(vm, name); }
 
 HomeFinder::HomeFinder(const View& view)
     : members_(&view.members)
 {
     seeds_.reserve(view.members.size());
     for (const Member& member : view.members)
-        seeds_.push_back(seedOf(member.vm));
+        seeds_.push_back(rendezvousSeed(member.vm));
 }
 
 const Member* HomeFinder::homeOf(const UpstreamId& upstream) const
 {
     Weighted best;
     for (std::size_t i = 0; i < seeds_.size(); ++i) {
-        const Weighted candidate { weightOf(seeds_[i], upstream.view()), &(*members_)[i] };
+        const Weighted candidate { rendezvousWeight(seeds_[i], upstream.view()), &(*members_)[i] };
         if (best.member == nullptr || candidate > best)
             best = candidate;
     }
--- a/libs/upstreams/include/upstreams/placement.h
+++ b/libs/upstreams/include/upstreams/placement.h
@@ -34,8 +34,8 @@
     /** Empty when no replica can take the request now. */
     UpstreamPointer upstream;
     Duration expectedDelay {};
-    /** True when a replica exists that could take it but has no connection free. */
-    bool waitsForConnection = false;
+    /** True when a replica could take it soon: it has no connection free now, or it is cold. */
+    bool canWait = false;
 };
 
 /** True unless the replica leaves, is in a zone taken out, or is silent. Silent ones are tried by
--- a/libs/upstreams/src/placement.cpp
+++ b/libs/upstreams/src/placement.cpp
@@ -51,14 +51,16 @@
             continue;
         const auto connectDelay = hooks.connectDelay(*upstream);
         if (!connectDelay) {
-            best.waitsForConnection = true;
+            best.canWait = true;
             continue;
         }
         score += *connectDelay;
         if (score >= bestScore)
             continue;
-        if (!hooks.mayStart(*upstream))
+        if (!hooks.mayStart(*upstream)) {
+            best.canWait = true;
             continue;
+        }
         bestScore = score;
         best.upstream = upstream;
         best.expectedDelay = expected;
--- a/libs/upstreams/tests/test_placement.cpp
+++ b/libs/upstreams/tests/test_placement.cpp
@@ -1,3 +1,4 @@
+#include "upstreams/cold_share.h"
 #include "upstreams/placement.h"
 #include "upstreams/start_pacer.h"
 
@@ -193,7 +194,7 @@
         shard.connectionFree[shard.in(zone).number] = false;
     const auto placement = shard.choose(start);
     BOOST_TEST(!placement.upstream);
-    BOOST_TEST(placement.waitsForConnection);
+    BOOST_TEST(placement.canWait);
 }
 
 // The load a replica tells ages within a few service times; an old report must not keep it away.
@@ -225,3 +226,30 @@
     BOOST_TEST(starts.size() >= 12U);
     BOOST_TEST(!StartPacer().mayStart(0.6, start));
 }
+
+// With many VMs, an even share of what a cold replica bears would be less than one request for each.
+BOOST_AUTO_TEST_CASE(allVmsTogetherSendAColdReplicaWhatItBears)
+{
+    std::set<VmId> vms;
+    for (int i = 0; i < 40; ++i)
+        vms.insert(VmId("vm-" + std::to_string(i)));
+    for (const double bears : { 1.0, 4.0, 17.5, 80.0 }) {
+        double total = 0;
+        for (const auto& vm : vms)
+            total += coldShare(UpstreamId("r1"), bears, vms, vm);
+        BOOST_TEST(total <= bears + 1e-9);
+        BOOST_TEST(total > bears - 1);
+    }
+    BOOST_TEST(coldShare(UpstreamId("r1"), 5, { VmId("only") }, VmId("only")) == 5);
+    BOOST_TEST(coldShare(UpstreamId("r1"), 0.5, { VmId("only") }, VmId("only")) == 0);
+}
+
+// A service of which all replicas are cold is served slowly and not refused as unavailable.
+BOOST_AUTO_TEST_CASE(aColdReplicaIsWaitedFor)
+{
+    Shard shard;
+    shard.mayStart = false;
+    const auto placement = shard.choose(start);
+    BOOST_TEST(!placement.upstream);
+    BOOST_TEST(placement.canWait);
+}
