--- a/libs/gateway/include/gateway/settings.h
+++ b/libs/gateway/include/gateway/settings.h
@@ -46,7 +46,7 @@
     /** Descriptors that may be open for callers and upstreams together. */
     std::size_t maxSockets = 3000;
     /** Lines per second that requests may write to the log; the rest is counted. */
-    double requestLogRate = 200;
+    double requestLogRate = 300;
 };
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/front_server.cpp
+++ b/libs/gateway/src/front_server.cpp
@@ -27,8 +27,7 @@
 }
 
 FrontServer::FrontServer(boost::asio::io_context& ioContext, std::size_t maxConnections, Handler handler)
-    : ioContext_(ioContext)
-    , acceptor_(ioContext)
+    : acceptor_(ioContext)
     , maxConnections_(maxConnections)
     , handler_(std::move(handler))
 {
--- a/libs/gateway/src/front_server.h
+++ b/libs/gateway/src/front_server.h
@@ -45,7 +45,6 @@
 private:
     void accept();
 
-    boost::asio::io_context& ioContext_;
     boost::asio::ip::tcp::acceptor acceptor_;
     const std::size_t maxConnections_;
     Handler handler_;
--- a/libs/gateway/src/request_log.cpp
+++ b/libs/gateway/src/request_log.cpp
@@ -11,13 +11,30 @@
 {
 }
 
-void RequestLog::write(
-    TimePoint now, std::string_view message, std::initializer_list<telemetry::LogField> fields)
+double RequestLog::available(TimePoint now) const
 {
     const double elapsed = std::chrono::duration<double>(now - at_).count();
-    tokens_ = std::min(rate_, tokens_ + std::max(0.0, elapsed) * rate_);
+    return std::min(rate_, tokens_ + std::max(0.0, elapsed) * rate_);
+}
+
+void RequestLog::step(
+    TimePoint now, std::string_view message, std::initializer_list<telemetry::LogField> fields)
+{
+    write(now, rate_ / 2, message, fields);
+}
+
+void RequestLog::end(
+    TimePoint now, std::string_view message, std::initializer_list<telemetry::LogField> fields)
+{
+    write(now, 0, message, fields);
+}
+
+void RequestLog::write(TimePoint now, double reserve, std::string_view message,
+    std::initializer_list<telemetry::LogField> fields)
+{
+    tokens_ = available(now);
     at_ = now;
-    if (tokens_ < 1) {
+    if (tokens_ < 1 + reserve) {
         ++untold_;
         dropped_.add();
         return;
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -72,7 +72,7 @@
     const auto& names = traffic.dialect().headers;
     const auto id = std::string(request.head.fields.find(names.requestId).value_or(""));
     const auto reject = [&](const http::Response& response, std::string_view reason) {
-        traffic.requestLog().write(now, "request rejected",
+        traffic.requestLog().end(now, "request rejected",
             { { "id", id }, { "target", request.head.target }, { "reason", std::string(reason) },
                 { "status", std::to_string(response.status) },
                 { "config", std::to_string(traffic.configuration().version().value) } });
@@ -219,7 +219,7 @@
             continue;
         attempt->detached = true;
         plan_->connectFailed(attempt->shard);
-        traffic_.requestLog().write(now, "connection is slow",
+        traffic_.requestLog().step(now, "connection is slow",
             { { "id", id_ }, { "upstream", attempt->upstream->record.id.str() },
                 { "waited_ms", millisText(now - attempt->startedAt) },
                 { "usual_ms", millisText(handshake) } });
@@ -238,7 +238,7 @@
     if (!placement.upstream) {
         if (placement.canWait)
             return plan_->blocked(step.shard, now + busyRetry);
-        traffic_.requestLog().write(now, "no replica can take the request",
+        traffic_.requestLog().step(now, "no replica can take the request",
             { { "id", id_ }, { "service", service.str() }, { "tried", std::to_string(tried.size()) },
                 { "registered", std::to_string(traffic_.registry().upstreams(service).size()) } });
         return plan_->unavailable(step.shard);
@@ -255,7 +255,7 @@
                   return attempt->shard == step.shard && attempt->sent && !attempt->ended;
               });
         (isHedge ? traffic_.metrics().hedges : traffic_.metrics().retries).add();
-        traffic_.requestLog().write(now, isHedge ? "second copy sent" : "sent again",
+        traffic_.requestLog().step(now, isHedge ? "second copy sent" : "sent again",
             { { "id", id_ }, { "service", service.str() },
                 { "upstream", placement.upstream->record.id.str() },
                 { "elapsed_ms", millisText(now - arrivedAt_) },
@@ -268,8 +268,8 @@
     attempt->startedAt = now;
     attempt->isRepeat = step.repeat;
     attempts_.push_back(attempt);
-    if (auto connection = traffic_.pool(placement.upstream).takeIdle(now))
-        return sendOn(attempt, std::move(connection), now);
+    if (const auto connection = traffic_.pool(placement.upstream).takeIdle(now))
+        return sendOn(attempt, connection, now);
     connect(attempt, now);
 }
 
@@ -286,7 +286,7 @@
                 = self && !self->finished_ && !attempt->detached && !self->plan_->isDone(attempt->shard);
             const auto at = BootClock::now();
             if (connection && wanted) {
-                self->sendOn(attempt, std::move(connection), at);
+                self->sendOn(attempt, connection, at);
                 return self->drive(at);
             }
             if (connection)
@@ -310,7 +310,7 @@
 }
 
 void RequestRunner::sendOn(
-    const AttemptPointer& attempt, std::shared_ptr<UpstreamConnection> connection, TimePoint now)
+    const AttemptPointer& attempt, const std::shared_ptr<UpstreamConnection>& connection, TimePoint now)
 {
     attempt->sent = true;
     attempt->sentAt = now;
@@ -349,7 +349,7 @@
         answered(attempt, *answer, now);
     } else {
         plan_->failed(attempt->shard);
-        traffic_.requestLog().write(now, "no answer of the replica",
+        traffic_.requestLog().step(now, "no answer of the replica",
             { { "id", id_ }, { "upstream", attempt->upstream->record.id.str() },
                 { "end",
                     end == ExchangeEnd::Malformed      ? "malformed"
@@ -377,7 +377,7 @@
         return plan_->answered(attempt->shard);
     }
     const bool refused = kind != AnswerKind::Failure;
-    traffic_.requestLog().write(now, refused ? "replica refused the request" : "replica failed",
+    traffic_.requestLog().step(now, refused ? "replica refused the request" : "replica failed",
         { { "id", id_ }, { "upstream", attempt->upstream->record.id.str() },
             { "status", std::to_string(answer.head.status) },
             { "after_ms", millisText(now - attempt->sentAt) } });
@@ -428,18 +428,36 @@
 {
     finished_ = true;
     timer_.cancel();
-    traffic_.requestLog().write(now, "request ended",
+    traffic_.requestLog().end(now, "request ended",
         { { "id", id_ }, { "route", route_.name }, { "outcome", std::string(outcome) },
             { "status", std::to_string(response.status) }, { "elapsed_ms", millisText(now - arrivedAt_) },
             { "parts", std::to_string(plan_ ? plan_->partsIn() : 0) },
-            { "shards", std::to_string(parts_.size()) }, { "sends", std::to_string(attempts_.size()) },
-            { "repeats", std::to_string(repeats_) }, { "deadline_ms", millisText(deadline_) },
+            { "shards", std::to_string(parts_.size()) }, { "open", openSends(now) },
+            { "sends", std::to_string(attempts_.size()) }, { "repeats", std::to_string(repeats_) },
+            { "deadline_ms", millisText(deadline_) },
             { "config", std::to_string(routes_->configuration().version.value) },
             { "config_age_ms", millisText(now - traffic_.configuration().acceptedAt()) } });
     // A caller of a VM that is cut off is served better on a new connection, which leads elsewhere.
     caller_->respond(response, traffic_.reach().isCutOff(now));
 }
 
+std::string RequestRunner::openSends(TimePoint now) const
+{
+    /** Enough to name the replicas that a request waited for, short enough for a line. */
+    constexpr int mostNamed = 6;
+    std::string text;
+    int named = 0;
+    for (const auto& attempt : attempts_) {
+        if (!attempt->sent || attempt->ended || plan_->isDone(attempt->shard))
+            continue;
+        if (++named > mostNamed)
+            return text + ",more";
+        text.append(text.empty() ? "" : ",").append(attempt->upstream->record.id.view());
+        text.append(":").append(std::to_string(toMicros(now - attempt->sentAt) / 1000)).append("ms");
+    }
+    return text.empty() ? "none" : text;
+}
+
 void RequestRunner::callerGone(TimePoint now)
 {
     if (finished_)
@@ -447,7 +465,7 @@
     finished_ = true;
     timer_.cancel();
     traffic_.metrics().callersGone.add();
-    traffic_.requestLog().write(now, "caller left",
+    traffic_.requestLog().end(now, "caller left",
         { { "id", id_ }, { "route", route_.name }, { "elapsed_ms", millisText(now - arrivedAt_) },
             { "parts", std::to_string(plan_->partsIn()) } });
     // Replicas stop work when the connection of a request closes.
--- a/libs/gateway/src/request_runner.h
+++ b/libs/gateway/src/request_runner.h
@@ -50,7 +50,8 @@
     /** Starts the send of a step, or tells the plan why it cannot. */
     void send(const dispatch::Step& step, TimePoint now);
     void connect(const AttemptPointer& attempt, TimePoint now);
-    void sendOn(const AttemptPointer& attempt, std::shared_ptr<UpstreamConnection> connection, TimePoint now);
+    void sendOn(
+        const AttemptPointer& attempt, const std::shared_ptr<UpstreamConnection>& connection, TimePoint now);
     std::string serialiseFor(const upstreams::Upstream& upstream, TimePoint now) const;
     void ended(const AttemptPointer& attempt, ExchangeEnd end, const ExchangeAnswer* answer, TimePoint now);
     void answered(const AttemptPointer& attempt, const ExchangeAnswer& answer, TimePoint now);
@@ -60,6 +61,8 @@
     void refuse(TimePoint now);
     void fail(TimePoint now);
     void finish(const http::Response& response, std::string_view outcome, TimePoint now);
+    /** Replicas whose answers are lacking, with the age of the sends, for the log. */
+    std::string openSends(TimePoint now) const;
     void callerGone(TimePoint now);
 
     const ServiceId& serviceOf(std::size_t shard) const;
--- a/libs/gateway/tests/gateway_world.h
+++ b/libs/gateway/tests/gateway_world.h
@@ -31,7 +31,7 @@
     std::map<std::string, store::KeyValue> keys;
     std::uint64_t revision = 10;
 
-    void set(std::string key, std::string value)
+    void set(const std::string& key, std::string value)
     {
         keys[key] = { key, std::move(value), { ++revision }, {} };
     }
--- a/libs/gateway/tests/test_decisions.cpp
+++ b/libs/gateway/tests/test_decisions.cpp
@@ -2,6 +2,7 @@
 #include "membership.h"
 #include "reach_tracker.h"
 #include "readiness.h"
+#include "request_log.h"
 #include "upstream_answer.h"
 
 #include <boost/test/unit_test.hpp>
@@ -22,7 +23,7 @@
     return dialect;
 }
 
-http::ResponseHead head(unsigned status, std::vector<std::pair<std::string, std::string>> fields)
+http::ResponseHead head(unsigned status, const std::vector<std::pair<std::string, std::string>>& fields)
 {
     http::ResponseHead result;
     result.status = status;
@@ -45,7 +46,8 @@
 BOOST_AUTO_TEST_CASE(onlyASignedSuccessIsAResult)
 {
     const auto dialect = testDialect();
-    const auto kind = [&](unsigned status, auto fields) { return classify(head(status, fields), dialect); };
+    const auto kind
+        = [&](unsigned status, const auto& fields) { return classify(head(status, fields), dialect); };
     using Fields = std::vector<std::pair<std::string, std::string>>;
     BOOST_TEST((kind(200, Fields { { "Signature", "s" } }) == AnswerKind::Result));
     BOOST_TEST((kind(200, Fields {}) == AnswerKind::Failure));
@@ -191,3 +193,20 @@
     members.listed({}, start + 10s);
     BOOST_TEST(members.live(start + 20s).size() == 1U);
 }
+
+// When many requests fail at once their steps must not use up the lines that tell their ends.
+BOOST_AUTO_TEST_CASE(stepsLeaveLogLinesForTheEndsOfRequests)
+{
+    telemetry::Counter dropped;
+    RequestLog log(100, dropped);
+    for (int i = 0; i < 500; ++i)
+        log.step(start, "step", {});
+    BOOST_TEST(dropped.value() == 450U);
+    for (int i = 0; i < 50; ++i)
+        log.end(start, "end", {});
+    BOOST_TEST(dropped.value() == 450U);
+    log.end(start, "end", {});
+    BOOST_TEST(dropped.value() == 451U);
+    // The bound is a rate: lines come back with time.
+    BOOST_TEST(log.available(start + 500ms) == 50);
+}
--- a/libs/upstreams/src/registry.cpp
+++ b/libs/upstreams/src/registry.cpp
@@ -26,7 +26,7 @@
         if (isOlder(record, known->record))
             return;
         if (isNewStart(record, known->record)) {
-            retire(known);
+            retire(record.id);
             add(record, RegistryEvent::Restarted, now);
             return;
         }
@@ -43,14 +43,13 @@
 
     void remove(const UpstreamId& id, TimePoint now)
     {
-        const auto found = byId_.find(id.str());
-        if (found == byId_.end())
+        if (!byId_.contains(id.str()))
             return;
         if (now < graceUntil_) {
             doomed_.insert(id.str());
             return;
         }
-        drop(found->second);
+        drop(id);
     }
 
     void applyListing(std::span<const UpstreamRecord> records, TimePoint now)
@@ -75,8 +74,8 @@
             return;
         const auto due = std::exchange(doomed_, {});
         for (const auto& id : due) {
-            if (const auto found = byId_.find(id); found != byId_.end())
-                drop(found->second);
+            if (byId_.contains(id))
+                drop(UpstreamId(id));
         }
     }
 
@@ -131,18 +130,19 @@
         list.erase(std::remove(list.begin(), list.end(), upstream), list.end());
     }
 
-    void retire(const UpstreamPointer& upstream)
+    /** Takes the replica out of all lists; `id` has to be known. */
+    UpstreamPointer retire(const UpstreamId& id)
     {
+        auto upstream = std::move(byId_.extract(id.str()).mapped());
         upstream->usable = false;
         unlist(upstream);
-        byId_.erase(upstream->record.id.str());
+        return upstream;
     }
 
-    void drop(const UpstreamPointer& upstream)
+    void drop(const UpstreamId& id)
     {
-        const auto kept = upstream;
-        retire(kept);
-        listener_(RegistryEvent::Removed, *kept);
+        const auto upstream = retire(id);
+        listener_(RegistryEvent::Removed, *upstream);
     }
 };
 
