A misdirected send is no send to a replica of the service

Ruled out: stale registrations that the VM could have known of (they were removed within the poll pause). Test: aMisdirectedSendReachedNoReplicaOfTheService.

--- a/libs/dispatch/include/dispatch/request_plan.h
+++ b/libs/dispatch/include/dispatch/request_plan.h
@@ -74,6 +74,8 @@
     void answered(std::size_t shard);
     /** The replica did not run the request and never will. */
     void refused(std::size_t shard);
+    /** The address belongs to another upstream by now: no replica of the shard got the request. */
+    void misdirected(std::size_t shard);
     /** The send has ended without a usable answer; the request may have run. */
     void failed(std::size_t shard);
     /** No replica can take the request before `retryAt`. */
--- a/libs/dispatch/src/request_plan.cpp
+++ b/libs/dispatch/src/request_plan.cpp
@@ -129,6 +129,12 @@
 
 void RequestPlan::refused(std::size_t shard) { --shards_[shard].outstanding; }
 
+void RequestPlan::misdirected(std::size_t shard)
+{
+    --shards_[shard].outstanding;
+    --shards_[shard].sends;
+}
+
 void RequestPlan::failed(std::size_t shard)
 {
     --shards_[shard].outstanding;
--- a/libs/dispatch/tests/test_request_plan.cpp
+++ b/libs/dispatch/tests/test_request_plan.cpp
@@ -145,6 +145,23 @@
     BOOST_TEST((plan.next(start + 2ms).kind == StepKind::Refuse));
 }
 
+// Addresses of replicas that are gone are used again: two stale entries must not end a request.
+BOOST_AUTO_TEST_CASE(aMisdirectedSendReachedNoReplicaOfTheService)
+{
+    auto plan = planOf(singleRules(false));
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(sendAll(plan, start + i * 1ms).size() == 1U);
+        plan.misdirected(0);
+    }
+    // It still counts against the retry budget, since it has been sent before.
+    const auto step = plan.next(start + 4ms);
+    BOOST_TEST((step.kind == StepKind::Send));
+    BOOST_TEST(step.repeat);
+    plan.sent(0, false, start + 4ms);
+    plan.answered(0);
+    BOOST_TEST((plan.next(start + 5ms).kind == StepKind::Answer));
+}
+
 // A non-idempotent request whose answer was lost may have run and must not run again.
 BOOST_AUTO_TEST_CASE(aNonIdempotentRequestIsNeverRepeatedAfterAnUnknownOutcome)
 {
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -381,6 +381,8 @@
         { { "id", id_ }, { "upstream", attempt->upstream->record.id.str() },
             { "status", std::to_string(answer.head.status) },
             { "after_ms", millisText(now - attempt->sentAt) } });
+    if (kind == AnswerKind::Misdirected)
+        return plan_->misdirected(attempt->shard);
     if (refused)
         return plan_->refused(attempt->shard);
     if (!route_.isGather())
