--- a/libs/config/include/config/edit.h
+++ b/libs/config/include/config/edit.h
@@ -95,7 +95,7 @@
 
 /** `load config {…}`: replaces the whole document, or creates the first one. */
 struct LoadConfig {
-    /** JSON text in the format of docs/design.md, section 3.4. */
+    /** JSON text in the format of docs/query-path.md, section 3.4. */
     std::string document;
     EditOptions options;
 
--- a/libs/config/src/document_json.cpp
+++ b/libs/config/src/document_json.cpp
@@ -141,7 +141,7 @@
     void fail(const std::string& pointer, const std::string& message)
     {
         reason_ = { ErrorKind::InvalidInput, pointer + ": " + message,
-            "follow the format in docs/design.md, section 3.4" };
+            "follow the format in docs/query-path.md, section 3.4" };
     }
 
     const Json& object_;
--- a/libs/config/src/syntax.cpp
+++ b/libs/config/src/syntax.cpp
@@ -70,7 +70,7 @@
         if (levels_.size() >= maxDocumentNesting) {
             reason_ = { ErrorKind::InvalidInput,
                 pointer() + ": nested deeper than " + std::to_string(maxDocumentNesting) + " levels",
-                "follow the format in docs/design.md, section 3.4" };
+                "follow the format in docs/query-path.md, section 3.4" };
             return false;
         }
         levels_.push_back({ isArray, 0, {}, {} });
--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -129,7 +129,7 @@
  *
  * Owned by the control thread and called only on it. It does no I/O: each event returns the actions that
  * the caller carries out in their order. The caller calls tick at least every 100 ms. The rules are those
- * of section 4 of docs/design.md and are checked in spec/authority.pml.
+ * of section 4 of docs/query-path.md and are checked in spec/authority.pml.
  */
 class Membership {
 public:
--- a/libs/store/include/store/etcd_store.h
+++ b/libs/store/include/store/etcd_store.h
@@ -11,7 +11,7 @@
 namespace banyancroft::store {
 
 /**
- * Store over the etcd v3 HTTP/JSON gateway (section 3.1 of docs/design.md).
+ * Store over the etcd v3 HTTP/JSON gateway (section 3.1 of docs/query-path.md).
  *
  *     store::EtcdStore store(ioContext, { .address = "127.0.0.1", .port = 2379 });
  *     store.get("/banyancroft/config", [](auto listing, const Error& reason) { … });
--- a/spec/authority.pml
+++ b/spec/authority.pml
@@ -1,5 +1,5 @@
 /*
- * Who may send to one upstream: section 4 of docs/design.md, as libs/membership implements it.
+ * Who may send to one upstream: section 4 of docs/query-path.md, as libs/membership implements it.
  *
  * Three VMs (0, 1, 2) of one availability zone; a VM that restarts runs its second incarnation. Run r is on
  * VM r % 3. The members of view 1 are given by INITIAL, by default VMs 0 and 1. The rendezvous
--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -1,5 +1,5 @@
 /*
- * Claims of non-idempotent work: section 5 of docs/design.md, as libs/claims implements it.
+ * Claims of non-idempotent work: section 5 of docs/query-path.md, as libs/claims implements it.
  *
  * Two daemons are asked to run the request with the same idempotency key. The claim is created if absent
  * with a nonce; a reply of the store may be lost after the write took effect, and is resolved by reading
--- a/spec/configuration.pml
+++ b/spec/configuration.pml
@@ -1,5 +1,5 @@
 /*
- * Acceptance of a configuration: section 5 of docs/design.md.
+ * Acceptance of a configuration: section 5 of docs/query-path.md.
  *
  * Two operators change the configuration through two daemons by compare-and-swap against the version that
  * they saw; a reply may be lost and is resolved by reading back. Daemons learn documents from the store and
