--- a/libs/daemon/include/daemon/settings.h
+++ b/libs/daemon/include/daemon/settings.h
@@ -11,7 +11,8 @@
 
 namespace banyancroft::daemon {
 
-/** Settings of one daemon, as text from flags or environment variables; see section 3.5 of docs/query-path.md. */
+/** Settings of one daemon, as text from flags or environment variables; see section 3.5 of
+ * docs/query-path.md. */
 struct RawSettings {
     std::string vm;
     std::string zone;
--- a/libs/gateway/src/traffic.cpp
+++ b/libs/gateway/src/traffic.cpp
@@ -122,6 +122,11 @@
     return std::clamp(budget(service).available(now, liveVms()) / plenty, 0.0, 1.0);
 }
 
+upstreams::StartPacer& Traffic::pacer(const upstreams::Upstream& upstream)
+{
+    return pacers_.try_emplace(upstream.number, startedAt_).first->second;
+}
+
 double Traffic::coldRate(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const
 {
     const auto* service = routes.service(upstream.record.service);
@@ -148,7 +153,7 @@
         return connectionPool.connectDelay(now);
     };
     hooks.mayStart = [&](const upstreams::Upstream& upstream) {
-        return !upstream.isCold(now) || pacers_[upstream.number].mayStart(coldRate(upstream, routes), now);
+        return !upstream.isCold(now) || pacer(upstream).mayStart(coldRate(upstream, routes), now);
     };
     hooks.random = [this] { return randomShare(); };
     upstreams::PlacementRequest request;
@@ -206,7 +211,7 @@
 void Traffic::noteStart(const upstreams::Upstream& upstream, TimePoint now)
 {
     if (upstream.isCold(now))
-        pacers_[upstream.number].started(now);
+        pacer(upstream).started(now);
 }
 
 void Traffic::tick(TimePoint now)
--- a/libs/gateway/src/traffic.h
+++ b/libs/gateway/src/traffic.h
@@ -108,6 +108,7 @@
     const ReachTracker& reach() const { return reach_; }
 
 private:
+    upstreams::StartPacer& pacer(const upstreams::Upstream& upstream);
     void trySilentReplicas(TimePoint now);
     void trySilentReplica(const upstreams::UpstreamPointer& upstream, TimePoint now);
     /** Closes the connections of replicas that get no new requests. */
