--- a/libs/base/include/base/time.h
+++ b/libs/base/include/base/time.h
@@ -36,5 +36,7 @@
 std::int64_t toMicros(Duration duration);
 /** Duration in milliseconds with fraction. */
 double toMillis(Duration duration);
+/** Duration times a factor, in whole nanoseconds. */
+Duration scaled(Duration duration, double factor);
 
 } // namespace banyancroft
--- a/libs/base/src/time.cpp
+++ b/libs/base/src/time.cpp
@@ -19,4 +19,9 @@
 
 double toMillis(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
 
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 } // namespace banyancroft
--- a/libs/dispatch/src/hedge_delay.cpp
+++ b/libs/dispatch/src/hedge_delay.cpp
@@ -29,11 +29,6 @@
     return std::min(bucket, count - 1);
 }
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 } // namespace
 
 void AnswerTimes::observe(Duration time)
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -4,6 +4,7 @@
 #include "membership.h"
 #include "readiness.h"
 #include "request_runner.h"
+#include "run_after.h"
 #include "store_follower.h"
 #include "telemetry/log.h"
 #include "traffic.h"
@@ -315,11 +316,7 @@
             telemetry::flushLog();
             return ioContext_.stop();
         }
-        stopTimer_.expires_after(stopPeriod);
-        stopTimer_.async_wait([this](const boost::system::error_code& failure) {
-            if (!failure)
-                goOnStopping();
-        });
+        runAfter(stopTimer_, stopPeriod, [this] { goOnStopping(); });
     }
 
     void tick()
@@ -336,11 +333,7 @@
         if (now >= nextReload_)
             reload();
         telemetry::flushLog();
-        tickTimer_.expires_after(tickPeriod);
-        tickTimer_.async_wait([this](const boost::system::error_code& failure) {
-            if (!failure)
-                tick();
-        });
+        runAfter(tickTimer_, tickPeriod, [this] { tick(); });
     }
 
     boost::asio::io_context& ioContext_;
--- a/libs/gateway/src/membership.cpp
+++ b/libs/gateway/src/membership.cpp
@@ -1,5 +1,6 @@
 #include "membership.h"
 
+#include "run_after.h"
 #include "telemetry/log.h"
 
 namespace banyancroft::gateway {
@@ -62,15 +63,6 @@
 
 void Registration::start() { grant(); }
 
-void Registration::after(Duration pause, std::function<void()> next)
-{
-    timer_.expires_after(pause);
-    timer_.async_wait([next = std::move(next)](const boost::system::error_code& failure) {
-        if (!failure)
-            next();
-    });
-}
-
 void Registration::grant()
 {
     store_.grantLease(timeToLive_, [this](std::optional<store::LeaseGrant> grant, const Error& reason) {
@@ -78,7 +70,7 @@
             return;
         if (!grant) {
             log(LogLevel::Warn, "membership", "no lease granted", { { "reason", toString(reason) } });
-            return after(retryPause, [this] { this->grant(); });
+            return runAfter(timer_, retryPause, [this] { this->grant(); });
         }
         lease_ = grant->lease;
         write();
@@ -93,12 +85,12 @@
         if (!revision) {
             log(LogLevel::Warn, "membership", "not registered", { { "reason", toString(reason) } });
             const bool lapsed = reason.kind == ErrorKind::NotFound;
-            return after(retryPause, [this, lapsed] { lapsed ? grant() : write(); });
+            return runAfter(timer_, retryPause, [this, lapsed] { lapsed ? grant() : write(); });
         }
         log(LogLevel::Info, "membership", "registered",
             { { "key", key_ }, { "lease", std::to_string(lease_.value) },
                 { "revision", std::to_string(revision->value) } });
-        after(timeToLive_ / renewalsPerLease, [this] { renew(); });
+        runAfter(timer_, timeToLive_ / renewalsPerLease, [this] { renew(); });
     });
 }
 
@@ -114,7 +106,7 @@
         }
         if (!grant)
             log(LogLevel::Warn, "membership", "lease not renewed", { { "reason", toString(reason) } });
-        after(grant ? timeToLive_ / renewalsPerLease : retryPause, [this] { renew(); });
+        runAfter(timer_, grant ? timeToLive_ / renewalsPerLease : retryPause, [this] { renew(); });
     });
 }
 
--- a/libs/gateway/src/membership.h
+++ b/libs/gateway/src/membership.h
@@ -49,7 +49,6 @@
     void grant();
     void write();
     void renew();
-    void after(Duration pause, std::function<void()> next);
 
     boost::asio::steady_timer timer_;
     store::PolledStore& store_;
--- a/libs/gateway/src/readiness.cpp
+++ b/libs/gateway/src/readiness.cpp
@@ -9,11 +9,6 @@
 /** Part of the longest stop that is left for the process to end in. */
 constexpr double exitPart = 0.9;
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 } // namespace
 
 bool isReady(const ReadinessInputs& inputs)
--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -1,5 +1,6 @@
 #include "store_follower.h"
 
+#include "run_after.h"
 #include "telemetry/log.h"
 
 #include <algorithm>
@@ -34,15 +35,6 @@
 
 void StoreFollower::start() { list(); }
 
-void StoreFollower::after(Duration pause, std::function<void()> next)
-{
-    timer_.expires_after(pause);
-    timer_.async_wait([next = std::move(next)](const boost::system::error_code& failure) {
-        if (!failure)
-            next();
-    });
-}
-
 void StoreFollower::noteAnswer()
 {
     const auto now = BootClock::now();
@@ -72,7 +64,7 @@
     calls_.add();
     store_.list(prefix_, [this](std::optional<store::Listing> listing, const Error& reason) {
         if (!listing)
-            return after(noteFailure(reason), [this] { list(); });
+            return runAfter(timer_, noteFailure(reason), [this] { list(); });
         noteAnswer();
         revision_ = listing->revision;
         hasListed_ = true;
@@ -80,7 +72,7 @@
             { { "keys", std::to_string(listing->entries.size()) },
                 { "revision", std::to_string(revision_.value) } });
         hooks_.listed(listing->entries);
-        after(pause_, [this] { poll(); });
+        runAfter(timer_, pause_, [this] { poll(); });
     });
 }
 
@@ -96,11 +88,11 @@
                 return list();
             }
             if (!changes)
-                return after(noteFailure(reason), [this] { poll(); });
+                return runAfter(timer_, noteFailure(reason), [this] { poll(); });
             noteAnswer();
             revision_ = std::max(revision_, changes->revision);
             hooks_.changed(changes->entries);
-            after(pause_, [this] { poll(); });
+            runAfter(timer_, pause_, [this] { poll(); });
         });
 }
 
--- a/libs/gateway/src/store_follower.h
+++ b/libs/gateway/src/store_follower.h
@@ -42,7 +42,6 @@
 private:
     void list();
     void poll();
-    void after(Duration pause, std::function<void()> next);
     void noteAnswer();
     /** Counts a failure and returns the pause before the next try. */
     Duration noteFailure(const Error& reason);
--- a/libs/upstreams/src/health.cpp
+++ b/libs/upstreams/src/health.cpp
@@ -34,11 +34,6 @@
 
 double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 } // namespace
 
 void UpstreamHealth::DecayingMean::observe(double value, TimePoint now)
--- a/libs/upstreams/src/placement.cpp
+++ b/libs/upstreams/src/placement.cpp
@@ -14,11 +14,6 @@
 /** Replicas that were tried before are used only when nothing else is left. */
 constexpr Duration lastResort = std::chrono::seconds(30);
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 } // namespace
 
 bool isCandidate(const Upstream& upstream, const Registry& registry, TimePoint now)
