--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -122,7 +122,7 @@
     return route_.isGather() ? route_.gather.shards[shard] : single_;
 }
 
-dispatch::PlanRules RequestRunner::planRules(TimePoint) const
+dispatch::PlanRules RequestRunner::planRules() const
 {
     const auto wayBack = 2 * traffic_.settings().callerDelay + answerMargin;
     // A later attempt of the same caller has less time left than its first one had.
@@ -146,7 +146,7 @@
             return finish(refusal(traffic_.dialect().headers, configurationWait), "no service", now);
         single_ = *service;
     }
-    const auto rules = planRules(now);
+    const auto rules = planRules();
     parts_.resize(rules.shards);
     for (std::size_t shard = 0; shard < rules.shards; ++shard)
         traffic_.budget(serviceOf(shard)).earn(now);
@@ -194,9 +194,7 @@
 {
     for (const auto& attempt : attempts_) {
         if (!attempt->sent && !attempt->detached && !attempt->ended) {
-            const auto handshake = traffic_.pool(attempt->upstream).handshake();
-            until = std::min(until,
-                attempt->startedAt + std::max<Duration>(handshake * slowConnectFactor, leastSlowConnect));
+            until = std::min(until, connectLimit(*attempt));
         }
     }
     // Below a millisecond the timer would fire early and be set again.
@@ -209,20 +207,25 @@
     });
 }
 
+TimePoint RequestRunner::connectLimit(const Attempt& attempt) const
+{
+    const auto handshake = traffic_.pool(attempt.upstream).handshake();
+    return attempt.startedAt + std::max<Duration>(handshake * slowConnectFactor, leastSlowConnect);
+}
+
 void RequestRunner::detachSlowConnects(TimePoint now)
 {
     for (const auto& attempt : attempts_) {
         if (attempt->sent || attempt->detached || attempt->ended)
             continue;
-        const auto handshake = traffic_.pool(attempt->upstream).handshake();
-        if (now - attempt->startedAt < std::max<Duration>(handshake * slowConnectFactor, leastSlowConnect))
+        if (now < connectLimit(*attempt))
             continue;
         attempt->detached = true;
         plan_->connectFailed(attempt->shard);
         traffic_.requestLog().step(now, "connection is slow",
             { { "id", id_ }, { "upstream", attempt->upstream->record.id.str() },
                 { "waited_ms", millisText(now - attempt->startedAt) },
-                { "usual_ms", millisText(handshake) } });
+                { "usual_ms", millisText(traffic_.pool(attempt->upstream).handshake()) } });
     }
 }
 
@@ -266,7 +269,6 @@
     attempt->shard = step.shard;
     attempt->upstream = placement.upstream;
     attempt->startedAt = now;
-    attempt->isRepeat = step.repeat;
     attempts_.push_back(attempt);
     if (const auto connection = traffic_.pool(placement.upstream).takeIdle(now))
         return sendOn(attempt, connection, now);
--- a/libs/gateway/src/request_runner.h
+++ b/libs/gateway/src/request_runner.h
@@ -35,7 +35,6 @@
         std::shared_ptr<UpstreamConnection> connection;
         TimePoint startedAt {};
         TimePoint sentAt {};
-        bool isRepeat = false;
         bool wasConnecting = false;
         bool sent = false;
         bool ended = false;
@@ -55,6 +54,8 @@
     std::string serialiseFor(const upstreams::Upstream& upstream, TimePoint now) const;
     void ended(const AttemptPointer& attempt, ExchangeEnd end, const ExchangeAnswer* answer, TimePoint now);
     void answered(const AttemptPointer& attempt, const ExchangeAnswer& answer, TimePoint now);
+    /** When an attempt whose connection is still being opened makes room for another replica. */
+    TimePoint connectLimit(const Attempt& attempt) const;
     void detachSlowConnects(TimePoint now);
 
     void answer(TimePoint now);
@@ -67,7 +68,7 @@
 
     const ServiceId& serviceOf(std::size_t shard) const;
     Duration typical() const;
-    dispatch::PlanRules planRules(TimePoint now) const;
+    dispatch::PlanRules planRules() const;
 
     Traffic& traffic_;
     std::shared_ptr<CallerConnection> caller_;
--- a/libs/gateway/src/store_follower.cpp
+++ b/libs/gateway/src/store_follower.cpp
@@ -67,7 +67,6 @@
             return runAfter(timer_, noteFailure(reason), [this] { list(); });
         noteAnswer();
         revision_ = listing->revision;
-        hasListed_ = true;
         log(LogLevel::Info, "store", "store listed",
             { { "keys", std::to_string(listing->entries.size()) },
                 { "revision", std::to_string(revision_.value) } });
--- a/libs/gateway/src/store_follower.h
+++ b/libs/gateway/src/store_follower.h
@@ -36,8 +36,6 @@
     void start();
     /** Time since the last answer of the store. */
     Duration silence(TimePoint now) const { return now - lastAnswer_; }
-    store::Revision revision() const { return revision_; }
-    bool hasListed() const { return hasListed_; }
 
 private:
     void list();
@@ -56,7 +54,6 @@
     store::Revision revision_;
     TimePoint lastAnswer_;
     unsigned failuresInRow_ = 0;
-    bool hasListed_ = false;
 };
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/traffic.cpp
+++ b/libs/gateway/src/traffic.cpp
@@ -145,10 +145,8 @@
         = std::max<std::size_t>(1, static_cast<std::size_t>(usedConnections * connections / liveVms()));
     const auto candidates = registry_.upstreams(service);
     upstreams::PlacementHooks hooks;
-    hooks.connectDelay = [&](const upstreams::Upstream& upstream) -> std::optional<Duration> {
-        const auto found = std::find_if(candidates.begin(), candidates.end(),
-            [&](const auto& candidate) { return candidate.get() == &upstream; });
-        auto& connectionPool = pool(*found);
+    hooks.connectDelay = [&](const upstreams::UpstreamPointer& upstream) {
+        auto& connectionPool = pool(upstream);
         connectionPool.setLimit(limit);
         return connectionPool.connectDelay(now);
     };
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -80,7 +80,6 @@
     auto connection = std::make_shared<UpstreamConnection>(ioContext_, requestIdField_, std::move(hooks));
     connections_.push_back(connection);
     ++connecting_;
-    ++opened_;
     boost::system::error_code ignored;
     // The address was checked when the registration was decoded.
     const auto address = boost::asio::ip::make_address(upstream_->record.address, ignored);
--- a/libs/gateway/src/upstream_pool.h
+++ b/libs/gateway/src/upstream_pool.h
@@ -46,7 +46,6 @@
     /** Closes idle connections and lets busy ones finish. */
     void retire();
 
-    std::size_t openCount() const { return connections_.size(); }
     bool isUnused() const { return connections_.empty(); }
     /** False once the replica drains, is gone or was replaced. */
     bool isInUse() const { return upstream_->usable; }
@@ -54,7 +53,6 @@
     Duration handshake() const { return handshake_; }
     bool hasIdle() const { return !idle_.empty(); }
     bool isConnecting() const { return connecting_ > 0; }
-    std::uint64_t opened() const { return opened_; }
 
 private:
     /** How long a new connection has to stand before it is used. */
@@ -72,7 +70,6 @@
     bool retired_ = false;
     Duration handshake_;
     std::size_t connecting_ = 0;
-    std::uint64_t opened_ = 0;
     std::vector<std::shared_ptr<UpstreamConnection>> connections_;
     std::vector<std::shared_ptr<UpstreamConnection>> idle_;
 };
--- a/libs/upstreams/include/upstreams/placement.h
+++ b/libs/upstreams/include/upstreams/placement.h
@@ -15,14 +15,12 @@
     AvailabilityZone ownZone;
     /** Replicas that this request was already sent to. */
     std::span<const std::uint64_t> tried;
-    /** True: replicas in `tried` may be used again if nothing else is left. */
-    bool mayRepeatReplica = false;
 };
 
 /** Hooks of placement. */
 struct PlacementHooks {
     /** Time until a connection to the replica can be used; empty when all are busy and none may be opened. */
-    std::function<std::optional<Duration>(const Upstream&)> connectDelay;
+    std::function<std::optional<Duration>(const UpstreamPointer&)> connectDelay;
     /** True when the replica is warm, or cold and this VM may send it one more request now. */
     std::function<bool(const Upstream&)> mayStart;
     /** Uniform in [0, 1). */
--- a/libs/upstreams/src/placement.cpp
+++ b/libs/upstreams/src/placement.cpp
@@ -11,8 +11,6 @@
 constexpr double otherZoneCost = 3;
 /** Random part of the score in usual answer times, so that VMs with equal knowledge spread out. */
 constexpr double spread = 0.3;
-/** Replicas that were tried before are used only when nothing else is left. */
-constexpr Duration lastResort = std::chrono::seconds(30);
 
 } // namespace
 
@@ -33,18 +31,16 @@
             continue;
         const bool tried
             = std::find(request.tried.begin(), request.tried.end(), upstream->number) != request.tried.end();
-        if (tried && !request.mayRepeatReplica)
+        if (tried)
             continue;
         const auto& health = upstream->health;
         const auto expected = health.expectedDelay(upstream->record.slots, request.typical, now);
         auto score = expected + scaled(request.typical, spread * hooks.random());
         if (upstream->record.zone != request.ownZone)
             score += scaled(request.typical, otherZoneCost);
-        if (tried)
-            score += lastResort;
         if (score >= bestScore)
             continue;
-        const auto connectDelay = hooks.connectDelay(*upstream);
+        const auto connectDelay = hooks.connectDelay(upstream);
         if (!connectDelay) {
             best.canWait = true;
             continue;
--- a/libs/upstreams/tests/test_placement.cpp
+++ b/libs/upstreams/tests/test_placement.cpp
@@ -48,8 +48,8 @@
     Placement choose(TimePoint now, std::vector<std::uint64_t> tried = {})
     {
         PlacementHooks hooks;
-        hooks.connectDelay = [this](const Upstream& upstream) -> std::optional<Duration> {
-            const auto found = connectionFree.find(upstream.number);
+        hooks.connectDelay = [this](const UpstreamPointer& upstream) -> std::optional<Duration> {
+            const auto found = connectionFree.find(upstream->number);
             if (found != connectionFree.end() && !found->second)
                 return std::nullopt;
             return Duration::zero();
