Read the store from one VM of each zone; follow up answers that may be cut

A VM that had been cut off from the store for 8 s asked for the changes since; the store cuts such an answer at 500 items, so configuration 17 arrived only with the third answer, two pauses later. Ruled out: deadline of the call and the link (answers came within 20 ms).

Change: one VM of each zone, picked by rendezvous hashing, reads it; the others ask that VM, which tells them changes with their age. A VM whose view is older than 65 % of the shortest bound asks the store itself and any other VM as well, so VMs that the store refuses learn from others, also right after a start (seeds). Updates from two sources are never mixed: an answer counts only for the revision it was asked for.

--- a/libs/gateway/include/gateway/settings.h
+++ b/libs/gateway/include/gateway/settings.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace banyancroft::gateway {
 
@@ -25,6 +26,10 @@
     ListenAddress callers;
     ListenAddress readiness;
     ListenAddress metrics;
+    /** Where other VMs ask for this VM's view of the store; port zero turns that off. */
+    ListenAddress relay;
+    /** Such addresses of other VMs that may be asked before any VM is known. */
+    std::vector<ListenAddress> seeds;
     std::string metricsPath = "/metrics";
 
     /** Limit on repeated sends over all VMs. */
@@ -41,8 +46,8 @@
     Duration callerDelay = std::chrono::milliseconds(3);
     /** Shortest lease that the store grants. */
     Duration leastLease = std::chrono::seconds(1);
-    /** Pause between two questions for changes at the store. */
-    Duration storePollPause = std::chrono::milliseconds(900);
+    /** Shortest time in which a change at the store has to be known on all VMs. */
+    Duration changeBound = std::chrono::seconds(3);
     /** Descriptors that may be open for callers and upstreams together. */
     std::size_t maxSockets = 3000;
     /** Lines per second that requests may write to the log; the rest is counted. */
--- a/libs/gateway/include/gateway/store_item.h
+++ b/libs/gateway/include/gateway/store_item.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "base/error.h"
+#include "gateway/settings.h"
 #include "routing/configuration.h"
 #include "store/store.h"
 #include "upstreams/registry.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -17,10 +19,17 @@
     bool isOut = false;
 };
 
-/** A VM of the gateway registered, or its registration ended. */
+/** What a VM of the gateway registers of itself. */
+struct MemberRecord {
+    AvailabilityZone zone;
+    /** Where it tells other VMs its view of the store; port zero when it does not. */
+    ListenAddress relay;
+};
+
+/** A VM of the gateway registered, or with no record the end of its registration. */
 struct MemberChange {
     VmId vm;
-    bool isLive = false;
+    std::optional<MemberRecord> record;
 };
 
 /** A key that concerns nobody here. */
@@ -36,6 +45,8 @@
     std::string watchedPrefix;
     /** Prefix of the keys under which VMs register themselves. */
     std::string memberPrefix;
+    /** The value that a VM registers. */
+    std::function<std::string(const MemberRecord&)> encodeMember;
     /** Reads a key; empty with a reason when its value cannot be read. Such a key changes nothing. */
     std::function<std::optional<StoreItem>(const store::KeyValue&, Error&)> decode;
     /** The same for a key that was deleted. */
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -5,15 +5,18 @@
 #include "readiness.h"
 #include "request_runner.h"
 #include "run_after.h"
-#include "store_follower.h"
+#include "store_sync.h"
 #include "telemetry/log.h"
 #include "traffic.h"
+#include "view_codec.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <csignal>
+#include <iterator>
+#include <map>
 #include <set>
 
 namespace banyancroft::gateway {
@@ -34,12 +37,25 @@
 constexpr Duration longestSilentStart = std::chrono::milliseconds(250);
 /** Connections to the readiness and metrics addresses. */
 constexpr std::size_t maxProbeConnections = 32;
+/** Connections of other VMs that ask for changes. */
+constexpr std::size_t maxRelayConnections = 200;
+/** Parts of the time in which a change has to be known: the reader's pause, that of the VMs which ask it, and
+ * the age at which they ask the store. The rest is for one call that gets no answer. */
+constexpr double storePausePart = 0.3;
+constexpr double peerPausePart = 0.1;
+constexpr double stalePart = 0.65;
 /** Part of the sockets that callers may use; the rest is for replicas and the store. */
 constexpr std::size_t callerSocketPart = 2;
 
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusUnavailable = 503;
 
+SyncPauses syncPauses(Duration changeBound)
+{
+    return { scaled(changeBound, storePausePart), scaled(changeBound, peerPausePart),
+        scaled(changeBound, stalePart) };
+}
+
 } // namespace
 
 class Gateway::Impl {
@@ -52,9 +68,10 @@
         , layout_(std::move(layout))
         , traffic_(ioContext, settings_, dialect_, metrics_, BootClock::now())
         , members_(settings_.vm)
-        , follower_(
-              ioContext, store, layout_.watchedPrefix, settings_.storePollPause, followerHooks(), metrics_)
+        , sync_(ioContext, store, layout_.watchedPrefix, syncPauses(settings_.changeBound), syncHooks(),
+              metrics_)
         , registration_(ioContext, store, layout_.memberPrefix + settings_.vm.str(),
+              layout_.encodeMember({ settings_.zone, settings_.relay }),
               std::max<Duration>(settings_.leastLease, registrationLease))
         , callers_(ioContext, settings_.maxSockets / callerSocketPart,
               [this](
@@ -62,6 +79,8 @@
         , probes_(ioContext, maxProbeConnections, [this](const CallerRequest& request) { probe(request); })
         , metricsServer_(
               ioContext, maxProbeConnections, [this](const CallerRequest& request) { showMetrics(request); })
+        , relayServer_(
+              ioContext, maxRelayConnections, [this](const CallerRequest& request) { relay(request); })
         , signals_(ioContext, SIGTERM, SIGINT, SIGHUP)
         , tickTimer_(ioContext)
         , stopTimer_(ioContext)
@@ -74,14 +93,15 @@
             [this] { return static_cast<double>(traffic_.liveVms()); });
         metrics_.gauge("banyancroft_gateway_ready", "1 while the readiness probe answers 200",
             [this] { return isReadyNow(BootClock::now()) ? 1.0 : 0.0; });
-        metrics_.gauge("banyancroft_store_silence_seconds", "Time since the store last answered",
-            [this] { return toMillis(follower_.silence(BootClock::now())) / 1000; });
+        metrics_.gauge("banyancroft_view_age_seconds", "Time since the view was the newest of the store",
+            [this] { return toMillis(sync_.age(BootClock::now())) / 1000; });
     }
 
     bool start(Error& reason)
     {
         if (!callers_.listen(settings_.callers, reason) || !probes_.listen(settings_.readiness, reason)
-            || !metricsServer_.listen(settings_.metrics, reason))
+            || !metricsServer_.listen(settings_.metrics, reason)
+            || (settings_.relay.port != 0 && !relayServer_.listen(settings_.relay, reason)))
             return false;
         log(LogLevel::Info, "gateway", "started",
             { { "version", BANYANCROFT_VERSION }, { "zone", settings_.zone.str() },
@@ -89,7 +109,8 @@
         startedAt_ = BootClock::now();
         probes_.begin();
         metricsServer_.begin();
-        follower_.start();
+        if (settings_.relay.port != 0)
+            relayServer_.begin();
         registration_.start();
         waitForSignal();
         tick();
@@ -99,19 +120,56 @@
     std::function<std::optional<Settings>(Error&)> reload_;
 
 private:
-    StoreFollower::Hooks followerHooks()
+    StoreSync::Hooks syncHooks()
     {
-        StoreFollower::Hooks hooks;
-        hooks.listed = [this](std::span<const store::KeyValue> entries) { applyListing(entries); };
-        hooks.changed = [this](std::span<const store::KeyValue> entries) {
-            for (const auto& entry : entries)
+        StoreSync::Hooks hooks;
+        hooks.updated = [this](const ViewUpdate& update) {
+            if (update.isFull)
+                return applyListing(update.content.entries);
+            for (const auto& entry : update.content.entries)
                 applyChange(entry);
             noteMembers();
         };
-        hooks.returned = [this] { traffic_.registry().storeReturned(BootClock::now()); };
+        hooks.storeReturned = [this](TimePoint at) { traffic_.registry().storeReturned(at); };
+        hooks.isReader = [this] { return members_.reader(settings_.zone) == settings_.vm; };
+        hooks.peer = [this](PeerChoice choice) { return peer(choice); };
         return hooks;
     }
 
+    std::optional<ListenAddress> peer(PeerChoice choice)
+    {
+        if (choice == PeerChoice::Reader)
+            return members_.relayOf(members_.reader(settings_.zone));
+        auto relays = members_.otherRelays();
+        if (relays.empty())
+            std::copy_if(settings_.seeds.begin(), settings_.seeds.end(), std::back_inserter(relays),
+                [this](const auto& seed) { return seed.address != settings_.relay.address; });
+        if (relays.empty())
+            return std::nullopt;
+        const auto index
+            = static_cast<std::size_t>(traffic_.randomShare() * static_cast<double>(relays.size()));
+        return relays[std::min(index, relays.size() - 1)];
+    }
+
+    /** Tells another VM what it lacks of this VM's view of the store. */
+    void relay(const CallerRequest& request)
+    {
+        http::Response response;
+        const auto& target = request.head.target;
+        const auto known = target.starts_with(relayPath)
+            ? http::parseNumber(std::string_view(target).substr(relayPath.size()))
+            : std::nullopt;
+        if (!known) {
+            response.status = statusNotFound;
+        } else if (sync_.view().isEmpty()) {
+            response.status = statusUnavailable;
+        } else {
+            response.fields.emplace_back("Content-Type", "application/msgpack");
+            response.body = encodeUpdate(sync_.view().since({ *known }), BootClock::now());
+        }
+        request.connection->respond(response, false);
+    }
+
     /** The item, or OtherKey for a value that cannot be read. */
     StoreItem decode(const store::KeyValue& entry)
     {
@@ -131,7 +189,7 @@
         const auto now = BootClock::now();
         std::vector<upstreams::UpstreamRecord> records;
         std::set<AvailabilityZone> zonesOut;
-        std::set<VmId> vms;
+        std::map<VmId, MemberRecord> vms;
         for (const auto& entry : entries) {
             auto item = decode(entry);
             if (auto* configuration = std::get_if<routing::Configuration>(&item))
@@ -140,12 +198,12 @@
                 records.push_back(std::move(*change->record));
             if (const auto* zone = std::get_if<ZoneOutChange>(&item))
                 zonesOut.insert(zone->zone);
-            if (const auto* member = std::get_if<MemberChange>(&item))
-                vms.insert(member->vm);
+            if (auto* member = std::get_if<MemberChange>(&item); member && member->record)
+                vms[member->vm] = std::move(*member->record);
         }
         traffic_.registry().applyListing(records, now);
         setZonesOut(std::move(zonesOut));
-        members_.listed(vms, now);
+        members_.listed(std::move(vms), now);
         hasListed_ = true;
         noteMembers();
         callers_.begin();
@@ -168,9 +226,9 @@
             }
             setZonesOut(std::move(zones));
         }
-        if (const auto* member = std::get_if<MemberChange>(&item)) {
-            if (member->isLive) {
-                members_.joined(member->vm, now);
+        if (auto* member = std::get_if<MemberChange>(&item)) {
+            if (member->record) {
+                members_.joined(member->vm, std::move(*member->record));
             } else {
                 members_.left(member->vm, now);
             }
@@ -236,7 +294,7 @@
         if (ready != wasReady_) {
             wasReady_ = ready;
             log(LogLevel::Info, "gateway", ready ? "ready" : "not ready",
-                { { "store_silence_ms", std::to_string(toMillis(follower_.silence(now))) },
+                { { "view_age_ms", std::to_string(toMillis(sync_.age(now))) },
                     { "config", std::to_string(traffic_.configuration().version().value) },
                     { "cut_off", traffic_.reach().isCutOff(now) ? "yes" : "no" },
                     { "stopping", stopping_ ? "yes" : "no" } });
@@ -322,6 +380,7 @@
     void tick()
     {
         const auto now = BootClock::now();
+        sync_.step(now);
         traffic_.tick(now);
         // Callers of a VM that still knows nothing are told so rather than kept waiting.
         if (!hasListed_ && now - startedAt_ > longestSilentStart)
@@ -329,6 +388,7 @@
         callers_.expire(now);
         probes_.expire(now);
         metricsServer_.expire(now);
+        relayServer_.expire(now);
         noteMembers();
         if (now >= nextReload_)
             reload();
@@ -345,11 +405,12 @@
         = metrics_.counter("banyancroft_store_malformed_total", "Values of the store that cannot be read");
     Traffic traffic_;
     MemberCount members_;
-    StoreFollower follower_;
+    StoreSync sync_;
     Registration registration_;
     FrontServer callers_;
     FrontServer probes_;
     FrontServer metricsServer_;
+    FrontServer relayServer_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer tickTimer_;
     boost::asio::steady_timer stopTimer_;
--- a/libs/gateway/src/membership.cpp
+++ b/libs/gateway/src/membership.cpp
@@ -1,5 +1,6 @@
 #include "membership.h"
 
+#include "base/rendezvous.h"
 #include "run_after.h"
 #include "telemetry/log.h"
 
@@ -23,40 +24,79 @@
 {
 }
 
-void MemberCount::joined(const VmId& vm, TimePoint) { vms_[vm] = TimePoint::max(); }
+void MemberCount::joined(const VmId& vm, MemberRecord record)
+{
+    vms_[vm] = { std::move(record), TimePoint::max() };
+}
 
 void MemberCount::left(const VmId& vm, TimePoint now)
 {
     const auto found = vms_.find(vm);
-    if (found != vms_.end() && found->second == TimePoint::max())
-        found->second = now + countedAfterLeaving;
+    if (found != vms_.end() && found->second.until == TimePoint::max())
+        found->second.until = now + countedAfterLeaving;
 }
 
-void MemberCount::listed(const std::set<VmId>& vms, TimePoint now)
+void MemberCount::listed(std::map<VmId, MemberRecord> vms, TimePoint now)
 {
-    for (const auto& [vm, until] : std::map(vms_)) {
+    for (const auto& [vm, member] : vms_) {
         if (!vms.contains(vm))
             left(vm, now);
     }
-    for (const auto& vm : vms)
-        joined(vm, now);
+    for (auto& [vm, record] : vms)
+        joined(vm, std::move(record));
 }
 
 std::set<VmId> MemberCount::live(TimePoint now) const
 {
     std::set<VmId> vms { self_ };
-    for (const auto& [vm, until] : vms_) {
-        if (until > now)
+    for (const auto& [vm, member] : vms_) {
+        if (member.until > now)
             vms.insert(vm);
     }
     return vms;
 }
 
-Registration::Registration(
-    boost::asio::io_context& ioContext, store::PolledStore& store, std::string key, Duration timeToLive)
+VmId MemberCount::reader(const AvailabilityZone& zone) const
+{
+    auto best = self_;
+    auto bestWeight = rendezvousWeight(self_, zone.view());
+    for (const auto& [vm, member] : vms_) {
+        if (member.until != TimePoint::max() || member.record.zone != zone || member.record.relay.port == 0)
+            continue;
+        const auto weight = rendezvousWeight(vm, zone.view());
+        if (weight > bestWeight) {
+            best = vm;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+std::optional<ListenAddress> MemberCount::relayOf(const VmId& vm) const
+{
+    const auto found = vms_.find(vm);
+    if (found == vms_.end() || found->second.until != TimePoint::max()
+        || found->second.record.relay.port == 0)
+        return std::nullopt;
+    return found->second.record.relay;
+}
+
+std::vector<ListenAddress> MemberCount::otherRelays() const
+{
+    std::vector<ListenAddress> relays;
+    for (const auto& [vm, member] : vms_) {
+        if (const auto relay = relayOf(vm); relay && vm != self_)
+            relays.push_back(*relay);
+    }
+    return relays;
+}
+
+Registration::Registration(boost::asio::io_context& ioContext, store::PolledStore& store, std::string key,
+    std::string value, Duration timeToLive)
     : timer_(ioContext)
     , store_(store)
     , key_(std::move(key))
+    , value_(std::move(value))
     , timeToLive_(timeToLive)
 {
 }
@@ -79,7 +119,7 @@
 
 void Registration::write()
 {
-    store_.put(key_, "{}", lease_, [this](std::optional<store::Revision> revision, const Error& reason) {
+    store_.put(key_, value_, lease_, [this](std::optional<store::Revision> revision, const Error& reason) {
         if (stopping_)
             return;
         if (!revision) {
--- a/libs/gateway/src/membership.h
+++ b/libs/gateway/src/membership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "gateway/store_item.h"
 #include "store/polled_store.h"
 
 #include <boost/asio/io_context.hpp>
@@ -8,8 +9,10 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace banyancroft::gateway {
 
@@ -21,25 +24,36 @@
 public:
     explicit MemberCount(VmId self);
 
-    void joined(const VmId& vm, TimePoint now);
+    void joined(const VmId& vm, MemberRecord record);
     void left(const VmId& vm, TimePoint now);
     /** Replaces what is known; VMs that are not listed have left. */
-    void listed(const std::set<VmId>& vms, TimePoint now);
+    void listed(std::map<VmId, MemberRecord> vms, TimePoint now);
     /** VMs that share the limits, this one included. */
     std::set<VmId> live(TimePoint now) const;
+    /** The registered VM, or this one, that reads the store for an availability zone; alike on all VMs. */
+    VmId reader(const AvailabilityZone& zone) const;
+    /** Relay address of a registered VM; empty when there is none. */
+    std::optional<ListenAddress> relayOf(const VmId& vm) const;
+    /** Relay addresses of all other registered VMs. */
+    std::vector<ListenAddress> otherRelays() const;
 
 private:
+    struct Member {
+        MemberRecord record;
+        /** Until when the VM counts; TimePoint::max() while it is registered. */
+        TimePoint until;
+    };
+
     VmId self_;
-    /** VMs with the time until which they count; TimePoint::max() while they are registered. */
-    std::map<VmId, TimePoint> vms_;
+    std::map<VmId, Member> vms_;
 };
 
 /** Keeps this VM registered at the store under a lease. */
 class Registration {
 public:
     /** @param key under which the VM registers  @param timeToLive of the lease */
-    Registration(
-        boost::asio::io_context& ioContext, store::PolledStore& store, std::string key, Duration timeToLive);
+    Registration(boost::asio::io_context& ioContext, store::PolledStore& store, std::string key,
+        std::string value, Duration timeToLive);
 
     void start();
     /** Ends the registration; `done` runs when the store has answered or the call has failed. */
@@ -53,6 +67,7 @@
     boost::asio::steady_timer timer_;
     store::PolledStore& store_;
     const std::string key_;
+    const std::string value_;
     const Duration timeToLive_;
     store::LeaseId lease_;
     bool stopping_ = false;
--- a/libs/gateway/tests/gateway_world.h
+++ b/libs/gateway/tests/gateway_world.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <future>
 #include <map>
@@ -30,6 +31,8 @@
     bool isDown = false;
     std::map<std::string, store::KeyValue> keys;
     std::uint64_t revision = 10;
+    /** Most changes in one answer; the others come with the next question. */
+    std::size_t mostChanges = 1000000;
 
     void set(const std::string& key, std::string value)
     {
@@ -57,6 +60,12 @@
                     changes.entries.push_back(value);
             }
             changes.revision = { revision };
+            if (changes.entries.size() <= mostChanges)
+                return changes;
+            std::sort(changes.entries.begin(), changes.entries.end(),
+                [](const auto& left, const auto& right) { return left.modified < right.modified; });
+            changes.entries.resize(mostChanges);
+            changes.revision = changes.entries.back().modified;
             return changes;
         });
     }
@@ -176,10 +185,11 @@
         settings.readiness = { "127.0.0.1", freePort() };
         settings.metrics = { "127.0.0.1", freePort() };
         settings.retries = { 0.2, std::chrono::seconds(10), 1000 };
-        settings.storePollPause = std::chrono::milliseconds(20);
+        settings.changeBound = std::chrono::milliseconds(100);
         settings.stopGrace = std::chrono::seconds(2);
         layout.memberPrefix = "vms/";
         layout.decode = [this](const store::KeyValue& entry, Error&) { return decode(entry.key); };
+        layout.encodeMember = [](const MemberRecord&) { return std::string("{}"); };
         layout.decodeRemoval = [](std::string_view) { return StoreItem(OtherKey {}); };
     }
 
@@ -239,6 +249,14 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
 
+    /** Waits until the relay address tells the view of the store. */
+    void waitUntilServing() const
+    {
+        while (Caller(settings.relay.port).call("GET /changes?after=0 HTTP/1.1\r\nHost: x\r\n\r\n").status
+            != 200)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+
     static std::string request(const std::string& path, const std::string& id, int deadlineMillis = 5000)
     {
         return "GET " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id
@@ -254,6 +272,12 @@
             + "\r\n\r\n" + body;
     }
 
+    std::uint16_t freePort()
+    {
+        boost::asio::ip::tcp::acceptor probe(ioContext, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        return probe.local_endpoint().port();
+    }
+
     boost::asio::io_context ioContext { 1 };
     FakePolledStore store;
     Settings settings;
@@ -272,15 +296,9 @@
         if (const auto found = records.find(key); found != records.end())
             return StoreItem(upstreams::RegistryChange { found->second.id, found->second });
         if (key.starts_with("vms/"))
-            return StoreItem(MemberChange { VmId(key.substr(4)), true });
+            return StoreItem(MemberChange { VmId(key.substr(4)), MemberRecord { settings.zone, {} } });
         return StoreItem(OtherKey {});
     }
-
-    std::uint16_t freePort()
-    {
-        boost::asio::ip::tcp::acceptor probe(ioContext, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-        return probe.local_endpoint().port();
-    }
 };
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/tests/test_decisions.cpp
+++ b/libs/gateway/tests/test_decisions.cpp
@@ -180,14 +180,14 @@
 {
     MemberCount members(VmId("a"));
     BOOST_TEST(members.live(start).size() == 1U);
-    members.listed({ VmId("a"), VmId("b"), VmId("c") }, start);
+    members.listed({ { VmId("a"), {} }, { VmId("b"), {} }, { VmId("c"), {} } }, start);
     BOOST_TEST(members.live(start).size() == 3U);
-    members.joined(VmId("d"), start + 1s);
+    members.joined(VmId("d"), {});
     BOOST_TEST(members.live(start + 1s).size() == 4U);
     members.left(VmId("b"), start + 2s);
     BOOST_TEST(members.live(start + 3s).size() == 4U);
     BOOST_TEST(members.live(start + 8s).size() == 3U);
-    members.joined(VmId("b"), start + 9s);
+    members.joined(VmId("b"), {});
     BOOST_TEST(members.live(start + 9s).size() == 4U);
     // The own entry may lapse; the VM still counts itself.
     members.listed({}, start + 10s);
