--- a/libs/gateway/src/traffic.cpp
+++ b/libs/gateway/src/traffic.cpp
@@ -3,6 +3,7 @@
 #include "telemetry/log.h"
 #include "upstream_answer.h"
 #include "upstreams/cold_share.h"
+#include "upstreams/connection_share.h"
 
 #include <limits>
 
@@ -13,8 +14,6 @@
 using telemetry::log;
 using telemetry::LogLevel;
 
-/** Part of a replica's connections that the VMs use together; the rest is for their changing number. */
-constexpr double usedConnections = 0.7;
 /** Replicas may hold connections of the VM's earlier process for about this long. */
 constexpr Duration startCaution = std::chrono::seconds(4);
 /** Part of a cold replica's rate that the VMs use together. */
@@ -140,14 +139,18 @@
     std::span<const std::uint64_t> tried, const routing::RouteTable& routes, TimePoint now)
 {
     const auto* declared = routes.service(service);
-    const double connections = declared ? declared->maxConnections : 1;
-    const auto limit
-        = std::max<std::size_t>(1, static_cast<std::size_t>(usedConnections * connections / liveVms()));
     const auto candidates = registry_.upstreams(service);
+    const auto share
+        = upstreams::connectionShare(declared ? declared->maxConnections : 1, candidates.size(), liveVms());
+    // The other replicas are for requests that these cannot take soon, on connections that are not kept.
+    const auto kept = share.replicas < candidates.size()
+        ? upstreams::keptReplicas(candidates, share.replicas, registry_, settings_.vm, settings_.zone, now)
+        : std::vector<upstreams::UpstreamPointer>(candidates.begin(), candidates.end());
     upstreams::PlacementHooks hooks;
     hooks.connectDelay = [&](const upstreams::UpstreamPointer& upstream) {
         auto& connectionPool = pool(upstream);
-        connectionPool.setLimit(limit);
+        const bool isKept = std::find(kept.begin(), kept.end(), upstream) != kept.end();
+        connectionPool.setLimit(share.perReplica, isKept);
         return connectionPool.connectDelay(now);
     };
     hooks.mayStart = [&](const upstreams::Upstream& upstream) {
@@ -239,13 +242,16 @@
     auto& connectionPool = pool(upstream);
     if (connectionPool.isConnecting())
         return;
+    const bool wasSuspect = upstream->health.isSuspect(now);
     upstream->health.trialStarted(now);
     metrics_.connections.add();
-    connectionPool.connect(now, [this, upstream](auto connection) {
+    connectionPool.connect(now, [this, upstream, wasSuspect](auto connection) {
         const bool reached = connection != nullptr;
-        log(LogLevel::Info, "health", reached ? "silent upstream takes connections" : "upstream is silent",
-            { { "upstream", upstream->record.id.str() },
-                { "outstanding", std::to_string(upstream->health.outstanding()) } });
+        if (reached == wasSuspect)
+            log(LogLevel::Info, "health",
+                reached ? "silent upstream takes connections" : "upstream is silent",
+                { { "upstream", upstream->record.id.str() },
+                    { "outstanding", std::to_string(upstream->health.outstanding()) } });
         if (!reached)
             return;
         if (upstream->record.zone != settings_.zone)
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -111,7 +111,7 @@
 
 void UpstreamPool::putBack(const std::shared_ptr<UpstreamConnection>& connection)
 {
-    if (retired_)
+    if (retired_ || !keepsIdle_)
         return connection->abandon();
     idle_.push_back(connection);
 }
--- a/libs/gateway/src/upstream_pool.h
+++ b/libs/gateway/src/upstream_pool.h
@@ -30,7 +30,12 @@
     UpstreamPool(const UpstreamPool&) = delete;
     UpstreamPool& operator=(const UpstreamPool&) = delete;
 
-    void setLimit(std::size_t limit) { limit_ = limit; }
+    /** @param keepsIdle false: connections end with the request that they were opened for */
+    void setLimit(std::size_t limit, bool keepsIdle)
+    {
+        limit_ = limit;
+        keepsIdle_ = keepsIdle;
+    }
     /** Time until a connection can be used: zero with an idle one, empty when all are busy. */
     std::optional<Duration> connectDelay(TimePoint now) const;
     /** Empty when there is none. */
@@ -64,6 +69,7 @@
     upstreams::UpstreamPointer upstream_;
     std::string requestIdField_;
     std::size_t limit_ = 1;
+    bool keepsIdle_ = true;
     TimePoint cautiousUntil_;
     /** No connection is opened before this time, since the replica has just reset one. */
     TimePoint fullUntil_ {};
