Answer earlier on small VMs and on new connections

Change: the answer time is brought forward by the processor time of sending one request's sub-requests on this VM, from the limits in the settings, and by a round trip for the first request of a connection.

--- a/libs/gateway/include/gateway/settings.h
+++ b/libs/gateway/include/gateway/settings.h
@@ -48,6 +48,8 @@
     Duration leastLease = std::chrono::seconds(1);
     /** Shortest time in which a change at the store has to be known on all VMs. */
     Duration changeBound = std::chrono::seconds(3);
+    /** Processor cores that the VM may use; parts of one are usual. */
+    double processors = 1;
     /** Descriptors that may be open for callers and upstreams together. */
     std::size_t maxSockets = 3000;
     /** Lines per second that requests may write to the log; the rest is counted. */
--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -71,7 +71,8 @@
     if (state != http::ReadState::Complete)
         return reject(state);
     waiting_ = true;
-    hooks_.request({ shared_from_this(), reader_.request(), reader_.body(), since_ });
+    const bool isFirst = !std::exchange(hasServed_, true);
+    hooks_.request({ shared_from_this(), reader_.request(), reader_.body(), since_, isFirst });
 }
 
 void CallerConnection::reject(http::ReadState state)
--- a/libs/gateway/src/caller_connection.h
+++ b/libs/gateway/src/caller_connection.h
@@ -23,6 +23,8 @@
     const std::string& body;
     /** When its first byte arrived. */
     TimePoint arrivedAt {};
+    /** The caller had to open a connection for it. */
+    bool isFirstOnConnection = false;
 };
 
 /** Limits on what a caller may send. */
@@ -82,6 +84,7 @@
     std::function<void()> gone_;
     /** Arrival of the first byte of the present request, or of the connection. */
     TimePoint since_ {};
+    bool hasServed_ = false;
     bool waiting_ = false;
     bool reading_ = false;
     bool closeAfterWrite_ = false;
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -1,5 +1,6 @@
 #include "request_runner.h"
 
+#include "answer_time.h"
 #include "telemetry/log.h"
 #include "upstream_answer.h"
 
@@ -20,8 +21,6 @@
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusGatewayTimeout = 504;
 
-/** Time between the decision to answer and the last byte on the link of the VM. */
-constexpr Duration answerMargin = std::chrono::milliseconds(3);
 /** A shard whose replicas are busy or cold is looked at again after this time. */
 constexpr Duration busyRetry = std::chrono::milliseconds(3);
 /** A repeat without budget is looked at again after this time. */
@@ -104,6 +103,7 @@
     , body_(request.body)
     , id_(request.head.fields.find(traffic.dialect().headers.requestId).value_or(""))
     , arrivedAt_(request.arrivedAt)
+    , openedConnection_(request.isFirstOnConnection)
     , routes_(std::move(routes))
     , route_(route)
     , history_(traffic.history(route.name))
@@ -124,16 +124,22 @@
 
 dispatch::PlanRules RequestRunner::planRules() const
 {
-    const auto wayBack = 2 * traffic_.settings().callerDelay + answerMargin;
-    // A later attempt of the same caller has less time left than its first one had.
-    const auto spentBefore = std::max(Duration::zero(), history_.longestDeadline - deadline_);
     dispatch::PlanRules rules;
     rules.repeatable = route_.idempotent || route_.isGather();
     rules.maxUpstreams = route_.maxUpstreams;
     rules.shards = route_.isGather() ? route_.gather.shards.size() : 1;
     rules.needed = route_.isGather() ? neededParts(rules.shards, route_.gather.minCoverage) : 1;
-    rules.answerAt = arrivedAt_ + route_.latencyObjective - spentBefore - wayBack;
-    rules.deadline = arrivedAt_ + std::min(deadline_ - wayBack, route_.timeout);
+    AnswerTimeInputs times;
+    times.arrivedAt = arrivedAt_;
+    times.objective = route_.latencyObjective;
+    // A later attempt of the same caller has less time left than its first one had.
+    times.spentBefore = std::max(Duration::zero(), history_.longestDeadline - deadline_);
+    times.openedConnection = openedConnection_;
+    times.callerDelay = traffic_.settings().callerDelay;
+    times.shards = rules.shards;
+    times.processors = traffic_.settings().processors;
+    rules.answerAt = answerTime(times);
+    rules.deadline = arrivedAt_ + std::min(deadline_ - wayBack(times), route_.timeout);
     return rules;
 }
 
--- a/libs/gateway/src/request_runner.h
+++ b/libs/gateway/src/request_runner.h
@@ -76,6 +76,7 @@
     std::string body_;
     std::string id_;
     const TimePoint arrivedAt_;
+    const bool openedConnection_;
     std::shared_ptr<const routing::RouteTable> routes_;
     const routing::Route& route_;
     RouteHistory& history_;
--- a/libs/upstreams/src/connection_share.cpp
+++ b/libs/upstreams/src/connection_share.cpp
@@ -24,7 +24,8 @@
     const auto perReplica = static_cast<std::size_t>(usedConnections * accepted / count);
     if (perReplica >= 1)
         return { perReplica, replicas };
-    const auto kept = static_cast<std::size_t>(usedOfSubsets * accepted * static_cast<double>(replicas) / count);
+    const auto kept
+        = static_cast<std::size_t>(usedOfSubsets * accepted * static_cast<double>(replicas) / count);
     return { 1, std::clamp<std::size_t>(kept, 1, std::max<std::size_t>(1, replicas)) };
 }
 
@@ -42,7 +43,8 @@
     const auto kept = std::min(count, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept), ranked.end(),
         [](const auto& left, const auto& right) {
-            return std::tie(std::get<0>(left), std::get<1>(left)) > std::tie(std::get<0>(right), std::get<1>(right));
+            return std::tie(std::get<0>(left), std::get<1>(left))
+                > std::tie(std::get<0>(right), std::get<1>(right));
         });
     std::vector<UpstreamPointer> result;
     result.reserve(kept);
