Send a request again to a replica that refused it when no other is left; fewer store calls in outages

Change: when all replicas of a shard have had the request, one that refused it, or lost the answer of a repeatable one, gets it again after 20, 40 and 80 ms, within the retry budget. It is the same replica, so the limit on replicas per attempt holds. Two tests of RequestPlan expected the end after the last allowed replica had refused; that is now the owner's decision, and they check the same end after the owner says that no replica may get it.

VMs that do not read for their zone ask a failing store every 2 s at most, and a lease is renewed twice, not three times, in its time.

--- a/libs/dispatch/include/dispatch/request_plan.h
+++ b/libs/dispatch/include/dispatch/request_plan.h
@@ -25,7 +25,7 @@
 };
 
 enum class StepKind {
-    /** Send the request to a replica of `shard`. */
+    /** Send the request to a replica of `shard`; with `sameUpstream` only to one that had it before. */
     Send,
     /** Answer with the parts that are there. */
     Answer,
@@ -44,6 +44,8 @@
     bool repeat = false;
     /** The repeat only improves an answer that is already good enough, so it leaves budget for others. */
     bool optional = false;
+    /** As many replicas as allowed have had the request. */
+    bool sameUpstream = false;
     TimePoint until {};
 };
 
@@ -71,6 +73,8 @@
     void connectFailed(std::size_t shard);
     /** The request was written, at once or after connecting(). */
     void sent(std::size_t shard, bool wasConnecting, TimePoint now);
+    /** The send that was just reported went to a replica that had the request before. */
+    void sentToSameUpstream(std::size_t shard) { --shards_[shard].sends; }
     void answered(std::size_t shard);
     /** The replica did not run the request and never will. */
     void refused(std::size_t shard);
@@ -78,7 +82,7 @@
     void misdirected(std::size_t shard);
     /** The send has ended without a usable answer; the request may have run. */
     void failed(std::size_t shard);
-    /** No replica can take the request before `retryAt`. */
+    /** No replica can take the request before `retryAt`, unless an open send ends without an answer. */
     void blocked(std::size_t shard, TimePoint retryAt);
     /** No replica of the shard is alive or allowed. */
     void unavailable(std::size_t shard);
@@ -93,7 +97,7 @@
 
 private:
     struct Shard {
-        /** Replicas that got the request or for which a connection is being opened. */
+        /** Different replicas that got the request or for which a connection is being opened. */
         unsigned sends = 0;
         unsigned connecting = 0;
         /** Written and not yet ended. */
--- a/libs/dispatch/src/request_plan.cpp
+++ b/libs/dispatch/src/request_plan.cpp
@@ -15,9 +15,7 @@
 {
     if (shard.done || !isIdle(shard))
         return false;
-    if (shard.unavailable || shard.sends >= std::max(1U, rules_.maxUpstreams))
-        return true;
-    return shard.failed && !rules_.repeatable;
+    return shard.unavailable || (shard.failed && !rules_.repeatable);
 }
 
 bool RequestPlan::mayHaveRun() const
@@ -58,6 +56,7 @@
     step.until = due;
     if (now < due)
         return step;
+    step.sameUpstream = shard.sends >= std::max(1U, rules_.maxUpstreams);
     step.optional = step.repeat && partsIn_ >= rules_.needed;
     step.kind = StepKind::Send;
     return step;
@@ -127,7 +126,11 @@
     }
 }
 
-void RequestPlan::refused(std::size_t shard) { --shards_[shard].outstanding; }
+void RequestPlan::refused(std::size_t shard)
+{
+    --shards_[shard].outstanding;
+    shards_[shard].blockedUntil = {};
+}
 
 void RequestPlan::misdirected(std::size_t shard)
 {
@@ -139,6 +142,7 @@
 {
     --shards_[shard].outstanding;
     shards_[shard].failed = true;
+    shards_[shard].blockedUntil = {};
 }
 
 void RequestPlan::blocked(std::size_t shard, TimePoint retryAt) { shards_[shard].blockedUntil = retryAt; }
--- a/libs/dispatch/tests/test_request_plan.cpp
+++ b/libs/dispatch/tests/test_request_plan.cpp
@@ -117,6 +117,11 @@
     plan.sent(4, false, start + 1ms);
     BOOST_TEST((plan.next(start + 1ms).kind == StepKind::Wait));
     plan.refused(4);
+    // As many replicas as allowed have refused; whether one of them may be asked again is the owner's to say.
+    const auto step = plan.next(start + 2ms);
+    BOOST_TEST((step.kind == StepKind::Send));
+    BOOST_TEST(step.sameUpstream);
+    plan.unavailable(4);
     // Two of ten shards are lost and nine parts are needed.
     BOOST_TEST((plan.next(start + 2ms).kind == StepKind::Fail));
 }
@@ -141,10 +146,32 @@
     BOOST_TEST(step.repeat);
     plan.sent(0, false, start + 1ms);
     plan.refused(0);
+    BOOST_TEST(plan.next(start + 2ms).sameUpstream);
+    plan.unavailable(0);
     // Two replicas refused: a promise that the request has not run is true.
     BOOST_TEST((plan.next(start + 2ms).kind == StepKind::Refuse));
 }
 
+// A send to the same replica is no further replica, and waits for an open send that may still be refused.
+BOOST_AUTO_TEST_CASE(aReplicaThatRefusedMayGetTheRequestAgain)
+{
+    auto rules = singleRules(false);
+    rules.maxUpstreams = 1;
+    auto plan = planOf(rules);
+    BOOST_TEST(!sendAll(plan, start).empty());
+    plan.refused(0);
+    plan.blocked(0, start + 20ms);
+    BOOST_TEST((plan.next(start + 1ms).kind == StepKind::Wait));
+    BOOST_TEST((plan.next(start + 20ms).kind == StepKind::Send));
+    BOOST_TEST(plan.next(start + 20ms).repeat);
+    plan.sent(0, false, start + 20ms);
+    plan.sentToSameUpstream(0);
+    BOOST_TEST((plan.next(start + 21ms).kind == StepKind::Wait));
+    // The outcome of a non-idempotent request is unknown now, so nothing may be sent any more.
+    plan.failed(0);
+    BOOST_TEST((plan.next(start + 22ms).kind == StepKind::Fail));
+}
+
 // Addresses of replicas that are gone are used again: two stale entries must not end a request.
 BOOST_AUTO_TEST_CASE(aMisdirectedSendReachedNoReplicaOfTheService)
 {
--- a/libs/gateway/src/membership.cpp
+++ b/libs/gateway/src/membership.cpp
@@ -14,8 +14,8 @@
 /** A VM that left may still have requests on their way, and others may not know yet that it left. */
 constexpr Duration countedAfterLeaving = std::chrono::seconds(5);
 constexpr Duration retryPause = std::chrono::milliseconds(500);
-/** Renewals in the time of a lease: two may fail. */
-constexpr int renewalsPerLease = 3;
+/** Renewals in the time of a lease: one may fail, and is repeated soon. */
+constexpr int renewalsPerLease = 2;
 
 } // namespace
 
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -23,6 +23,11 @@
 
 /** A shard whose replicas are busy or cold is looked at again after this time. */
 constexpr Duration busyRetry = std::chrono::milliseconds(3);
+/** Pause before a replica gets a request again, doubled with each send: its queue drains in a few service
+ * times. */
+constexpr Duration againPause = std::chrono::milliseconds(20);
+/** A replica that has refused for this many pauses is overloaded for longer than the request can wait. */
+constexpr unsigned mostSendsToSame = 3;
 /** A repeat without budget is looked at again after this time. */
 constexpr Duration budgetRetry = std::chrono::milliseconds(20);
 /** A connection that takes this multiple of its usual time makes room for another replica. */
@@ -235,18 +240,73 @@
     }
 }
 
-void RequestRunner::send(const Step& step, TimePoint now)
+bool RequestRunner::mayGetAgain(const Attempt& attempt) const
+{
+    return attempt.ended && (attempt.wasRefused || plan_->rules().repeatable);
+}
+
+bool RequestRunner::isOpen(std::size_t shard) const
+{
+    return std::any_of(attempts_.begin(), attempts_.end(), [shard](const auto& attempt) {
+        return attempt->shard == shard && !attempt->ended && !attempt->detached;
+    });
+}
+
+std::optional<TimePoint> RequestRunner::nextAgain(std::size_t shard) const
+{
+    std::optional<TimePoint> next;
+    unsigned sendsToSame = 0;
+    for (const auto& attempt : attempts_) {
+        if (attempt->shard != shard)
+            continue;
+        sendsToSame += attempt->toSameUpstream;
+        if (mayGetAgain(*attempt))
+            next = std::max(next.value_or(TimePoint {}), attempt->endedAt);
+    }
+    if (!next || sendsToSame >= mostSendsToSame)
+        return std::nullopt;
+    return *next + againPause * (1U << sendsToSame);
+}
+
+std::vector<std::uint64_t> RequestRunner::triedUpstreams(std::size_t shard, bool again) const
 {
-    const auto& service = serviceOf(step.shard);
     std::vector<std::uint64_t> tried;
     for (const auto& attempt : attempts_) {
-        if (attempt->shard == step.shard)
+        if (attempt->shard == shard && !(again && mayGetAgain(*attempt)))
             tried.push_back(attempt->upstream->number);
     }
-    const auto placement = traffic_.place(service, typical(), tried, *routes_, now);
+    return tried;
+}
+
+upstreams::Placement RequestRunner::placeFor(const Step& step, TimePoint now)
+{
+    const auto& service = serviceOf(step.shard);
+    upstreams::Placement placement;
+    if (!step.sameUpstream) {
+        placement = traffic_.place(service, typical(), triedUpstreams(step.shard, false), *routes_, now);
+        if (placement.upstream || placement.canWait)
+            return placement;
+    }
+    const auto again = nextAgain(step.shard);
+    if (!again || isOpen(step.shard))
+        return placement;
+    if (now >= *again)
+        return traffic_.place(service, typical(), triedUpstreams(step.shard, true), *routes_, now);
+    placement.canWait = true;
+    return placement;
+}
+
+void RequestRunner::send(const Step& step, TimePoint now)
+{
+    const auto& service = serviceOf(step.shard);
+    const auto placement = placeFor(step, now);
+    const auto tried = triedUpstreams(step.shard, false);
     if (!placement.upstream) {
         if (placement.canWait)
             return plan_->blocked(step.shard, now + busyRetry);
+        // The send that is open may still be refused, and then its replica may get the request again.
+        if (isOpen(step.shard))
+            return plan_->blocked(step.shard, plan_->rules().deadline);
         traffic_.requestLog().step(now, "no replica can take the request",
             { { "id", id_ }, { "service", service.str() }, { "tried", std::to_string(tried.size()) },
                 { "registered", std::to_string(traffic_.registry().upstreams(service).size()) } });
@@ -259,10 +319,7 @@
             return plan_->blocked(step.shard, now + budgetRetry);
         }
         ++repeats_;
-        const bool isHedge
-            = !tried.empty() && std::any_of(attempts_.begin(), attempts_.end(), [&](const auto& attempt) {
-                  return attempt->shard == step.shard && attempt->sent && !attempt->ended;
-              });
+        const bool isHedge = isOpen(step.shard);
         (isHedge ? traffic_.metrics().hedges : traffic_.metrics().retries).add();
         traffic_.requestLog().step(now, isHedge ? "second copy sent" : "sent again",
             { { "id", id_ }, { "service", service.str() },
@@ -275,6 +332,8 @@
     attempt->shard = step.shard;
     attempt->upstream = placement.upstream;
     attempt->startedAt = now;
+    attempt->toSameUpstream
+        = std::find(tried.begin(), tried.end(), placement.upstream->number) != tried.end();
     attempts_.push_back(attempt);
     if (const auto connection = traffic_.pool(placement.upstream).takeIdle(now))
         return sendOn(attempt, connection, now);
@@ -324,6 +383,8 @@
     attempt->sentAt = now;
     attempt->connection = connection;
     plan_->sent(attempt->shard, attempt->wasConnecting, now);
+    if (attempt->toSameUpstream)
+        plan_->sentToSameUpstream(attempt->shard);
     attempt->upstream->health.sent(now);
     traffic_.noteStart(*attempt->upstream, now);
     traffic_.metrics().subRequests.add();
@@ -339,6 +400,7 @@
             ExchangeEnd end, const ExchangeAnswer* answer) {
             const auto at = BootClock::now();
             attempt->ended = true;
+            attempt->endedAt = at;
             attempt->connection.reset();
             traffic.noteEnd(attempt->upstream, attempt->sentAt, usual, end, answer, at);
             if (answer && classify(answer->head, traffic.dialect()) == AnswerKind::Result)
@@ -385,6 +447,7 @@
         return plan_->answered(attempt->shard);
     }
     const bool refused = kind != AnswerKind::Failure;
+    attempt->wasRefused = refused;
     traffic_.requestLog().step(now, refused ? "replica refused the request" : "replica failed",
         { { "id", id_ }, { "upstream", attempt->upstream->record.id.str() },
             { "status", std::to_string(answer.head.status) },
--- a/libs/gateway/src/request_runner.h
+++ b/libs/gateway/src/request_runner.h
@@ -35,6 +35,11 @@
         std::shared_ptr<UpstreamConnection> connection;
         TimePoint startedAt {};
         TimePoint sentAt {};
+        TimePoint endedAt {};
+        /** The replica had the request before. */
+        bool toSameUpstream = false;
+        /** The replica refused the request without having run it. */
+        bool wasRefused = false;
         bool wasConnecting = false;
         bool sent = false;
         bool ended = false;
@@ -48,6 +53,17 @@
     void wait(TimePoint until, TimePoint now);
     /** Starts the send of a step, or tells the plan why it cannot. */
     void send(const dispatch::Step& step, TimePoint now);
+    /**
+     * Replicas that a send to the shard may not go to: those that had the request before. One that refused
+     * it, or of which the answer of a repeatable request was lost, may get it again after a pause.
+     * @param again true to allow that
+     */
+    std::vector<std::uint64_t> triedUpstreams(std::size_t shard, bool again) const;
+    bool mayGetAgain(const Attempt& attempt) const;
+    /** When the first replica that had the request may get it again; empty when none may. */
+    std::optional<TimePoint> nextAgain(std::size_t shard) const;
+    bool isOpen(std::size_t shard) const;
+    upstreams::Placement placeFor(const dispatch::Step& step, TimePoint now);
     void connect(const AttemptPointer& attempt, TimePoint now);
     void sendOn(
         const AttemptPointer& attempt, const std::shared_ptr<UpstreamConnection>& connection, TimePoint now);
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -15,6 +15,9 @@
 /** Pauses after failures in a row: short at first, since most are single lost answers. */
 constexpr Duration firstRetry = std::chrono::milliseconds(50);
 constexpr Duration longestRetry = std::chrono::milliseconds(500);
+/** The same for a VM that does not read for its zone: it hears of the store's return from the one that does.
+ */
+constexpr Duration longestRetryOfOthers = std::chrono::seconds(2);
 /** Another VM answers from memory; one that takes longer is stopped, suspended or cut off. */
 constexpr Duration peerTimeout = std::chrono::milliseconds(300);
 /** Registrations outlast outages of the store that are shorter than this. */
@@ -151,9 +154,9 @@
             { { "reason", toString(reason) }, { "revision", std::to_string(view_.revision().value) },
                 { "view_age_ms", std::to_string(toMillis(age(now))) } });
     }
-    const auto pause = firstRetry * (1U << std::min(storeFailuresInRow_, 4U));
+    const auto pause = firstRetry * (1U << std::min(storeFailuresInRow_, 6U));
     ++storeFailuresInRow_;
-    nextStoreCall_ = now + std::min<Duration>(pause, longestRetry);
+    nextStoreCall_ = now + std::min<Duration>(pause, hooks_.isReader() ? longestRetry : longestRetryOfOthers);
 }
 
 void StoreSync::askPeer(const ListenAddress& peer, TimePoint now)
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -163,6 +163,23 @@
     BOOST_TEST(world.replicas[1]->arrivals() > 0);
 }
 
+// A shard with one replica left failed every request that this replica refused for a moment.
+BOOST_AUTO_TEST_CASE(theOnlyReplicaGetsARequestAgainAfterARefusal)
+{
+    for (const bool idempotent : { true, false }) {
+        GatewayWorld world;
+        int arrivals = 0;
+        world.replica("ledger", "r1", [&](const http::RequestHead& head, const std::string&) {
+            return FakeAnswer { ++arrivals <= 2 ? refusal : GatewayWorld::signedAnswer(head, "sig", "data") };
+        });
+        world.configure(configurationOf({ singleRoute(idempotent) }));
+        BOOST_TEST(
+            world.callWhenReady(GatewayWorld::request(idempotent ? "/lookup/1" : "/credit/1", "id")).status
+            == 200U);
+        BOOST_TEST(arrivals == 3);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aPromiseOfAReplicaIsPassedOnAsAPromise)
 {
     GatewayWorld world;
