--- /dev/null
+++ b/libs/gateway/src/attempts.cpp
@@ -0,0 +1,81 @@
+#include "attempts.h"
+
+#include <algorithm>
+
+namespace banyancroft::gateway {
+
+namespace {
+
+/** Pause before a replica gets a request again, doubled with each send: its queue drains in a few service
+ * times. */
+constexpr Duration againPause = std::chrono::milliseconds(20);
+/** A replica that has refused for this many pauses is overloaded for longer than the request can wait. */
+constexpr unsigned mostSendsToSame = 3;
+
+bool mayGetAgain(const Attempt& attempt, bool repeatable)
+{
+    return attempt.ended && (attempt.wasRefused || repeatable);
+}
+
+} // namespace
+
+bool isOpen(std::span<const AttemptPointer> attempts, std::size_t shard)
+{
+    return std::any_of(attempts.begin(), attempts.end(), [shard](const auto& attempt) {
+        return attempt->shard == shard && !attempt->ended && !attempt->detached;
+    });
+}
+
+std::vector<std::uint64_t> triedUpstreams(std::span<const AttemptPointer> attempts, std::size_t shard)
+{
+    std::vector<std::uint64_t> tried;
+    for (const auto& attempt : attempts) {
+        if (attempt->shard == shard)
+            tried.push_back(attempt->upstream->number);
+    }
+    return tried;
+}
+
+std::vector<std::uint64_t> finallyTriedUpstreams(
+    std::span<const AttemptPointer> attempts, std::size_t shard, bool repeatable)
+{
+    std::vector<std::uint64_t> tried;
+    for (const auto& attempt : attempts) {
+        if (attempt->shard == shard && !mayGetAgain(*attempt, repeatable))
+            tried.push_back(attempt->upstream->number);
+    }
+    return tried;
+}
+
+std::optional<TimePoint> nextAgain(
+    std::span<const AttemptPointer> attempts, std::size_t shard, bool repeatable)
+{
+    std::optional<TimePoint> lastEnd;
+    unsigned sendsToSame = 0;
+    for (const auto& attempt : attempts) {
+        if (attempt->shard != shard)
+            continue;
+        sendsToSame += attempt->toSameUpstream ? 1 : 0;
+        if (mayGetAgain(*attempt, repeatable))
+            lastEnd = std::max(lastEnd.value_or(TimePoint {}), attempt->endedAt);
+    }
+    if (!lastEnd || sendsToSame >= mostSendsToSame)
+        return std::nullopt;
+    return *lastEnd + againPause * (1U << sendsToSame);
+}
+
+std::string describeOpen(std::span<const AttemptPointer> open, TimePoint now)
+{
+    /** Enough to name the replicas that a request waited for, short enough for a line. */
+    constexpr std::size_t mostNamed = 6;
+    std::string text;
+    for (const auto& attempt : open.first(std::min(open.size(), mostNamed))) {
+        text.append(text.empty() ? "" : ",").append(attempt->upstream->record.id.view());
+        text.append(":").append(std::to_string(toMicros(now - attempt->sentAt) / 1000)).append("ms");
+    }
+    if (open.size() > mostNamed)
+        text.append(",more");
+    return text.empty() ? "none" : text;
+}
+
+} // namespace banyancroft::gateway
--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "caller_connection.h"
 
+#include "own_answers.h"
+
 namespace banyancroft::gateway {
 
 namespace {
@@ -10,7 +12,6 @@
 /** Bytes of a next request that are kept while one waits for its answer; then reading pauses. */
 constexpr std::size_t longestReadAhead = 64 * 1024;
 
-constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusRequestTimeout = 408;
 constexpr unsigned statusContentTooLarge = 413;
 constexpr unsigned statusHeaderTooLarge = 431;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "front_server.h"
 #include "membership.h"
+#include "own_answers.h"
 #include "readiness.h"
 #include "request_runner.h"
 #include "run_after.h"
@@ -47,9 +48,6 @@
 /** Part of the sockets that callers may use; the rest is for replicas and the store. */
 constexpr std::size_t callerSocketPart = 2;
 
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusUnavailable = 503;
-
 SyncPauses syncPauses(Duration changeBound)
 {
     return { scaled(changeBound, storePausePart), scaled(changeBound, peerPausePart),
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -1,12 +1,13 @@
 #include "request_runner.h"
 
 #include "answer_time.h"
+#include "own_answers.h"
 #include "telemetry/log.h"
 #include "upstream_answer.h"
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
+#include <iterator>
 
 namespace banyancroft::gateway {
 
@@ -15,19 +16,8 @@
 using dispatch::Step;
 using dispatch::StepKind;
 
-constexpr unsigned statusBadRequest = 400;
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusBadGateway = 502;
-constexpr unsigned statusUnavailable = 503;
-constexpr unsigned statusGatewayTimeout = 504;
-
 /** A shard whose replicas are busy or cold is looked at again after this time. */
 constexpr Duration busyRetry = std::chrono::milliseconds(3);
-/** Pause before a replica gets a request again, doubled with each send: its queue drains in a few service
- * times. */
-constexpr Duration againPause = std::chrono::milliseconds(20);
-/** A replica that has refused for this many pauses is overloaded for longer than the request can wait. */
-constexpr unsigned mostSendsToSame = 3;
 /** A repeat without budget is looked at again after this time. */
 constexpr Duration budgetRetry = std::chrono::milliseconds(20);
 /** A connection that takes this multiple of its usual time makes room for another replica. */
@@ -42,31 +32,8 @@
 /** When replicas that are out of reach are tried again by another VM. */
 constexpr Duration unavailableWait = std::chrono::milliseconds(50);
 
-std::string secondsText(Duration duration)
-{
-    std::array<char, 32> text {};
-    const auto length
-        = std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(duration).count());
-    return { text.data(), static_cast<std::size_t>(length) };
-}
-
 std::string millisText(Duration duration) { return std::to_string(toMillis(duration)); }
 
-http::Response refusal(const HeaderNames& names, Duration retryAfter)
-{
-    http::Response response;
-    response.status = statusUnavailable;
-    response.fields.emplace_back(names.retryAfter, secondsText(retryAfter));
-    return response;
-}
-
-http::Response plain(unsigned status)
-{
-    http::Response response;
-    response.status = status;
-    return response;
-}
-
 } // namespace
 
 void RequestRunner::run(Traffic& traffic, const CallerRequest& request, TimePoint now)
@@ -89,13 +56,13 @@
     const auto host = request.head.fields.find("host").value_or("");
     const auto* route = routes->match(host, request.head.target);
     if (!route)
-        return reject(plain(statusNotFound), "no route for host and path");
+        return reject(plainAnswer(statusNotFound), "no route for host and path");
     if (id.empty())
-        return reject(plain(statusBadRequest), "request id is missing");
+        return reject(plainAnswer(statusBadRequest), "request id is missing");
     const auto deadlineText = request.head.fields.find(names.deadlineMillis);
     const auto millis = deadlineText ? http::parseNumber(*deadlineText) : std::nullopt;
     if (deadlineText && !millis)
-        return reject(plain(statusBadRequest), "deadline is no whole number");
+        return reject(plainAnswer(statusBadRequest), "deadline is no whole number");
     const Duration deadline = millis ? std::chrono::milliseconds(*millis) : route->timeout;
     std::make_shared<RequestRunner>(traffic, request, routes, *route, deadline)->start(now);
 }
@@ -240,58 +207,21 @@
     }
 }
 
-bool RequestRunner::mayGetAgain(const Attempt& attempt) const
-{
-    return attempt.ended && (attempt.wasRefused || plan_->rules().repeatable);
-}
-
-bool RequestRunner::isOpen(std::size_t shard) const
-{
-    return std::any_of(attempts_.begin(), attempts_.end(), [shard](const auto& attempt) {
-        return attempt->shard == shard && !attempt->ended && !attempt->detached;
-    });
-}
-
-std::optional<TimePoint> RequestRunner::nextAgain(std::size_t shard) const
-{
-    std::optional<TimePoint> next;
-    unsigned sendsToSame = 0;
-    for (const auto& attempt : attempts_) {
-        if (attempt->shard != shard)
-            continue;
-        sendsToSame += attempt->toSameUpstream;
-        if (mayGetAgain(*attempt))
-            next = std::max(next.value_or(TimePoint {}), attempt->endedAt);
-    }
-    if (!next || sendsToSame >= mostSendsToSame)
-        return std::nullopt;
-    return *next + againPause * (1U << sendsToSame);
-}
-
-std::vector<std::uint64_t> RequestRunner::triedUpstreams(std::size_t shard, bool again) const
-{
-    std::vector<std::uint64_t> tried;
-    for (const auto& attempt : attempts_) {
-        if (attempt->shard == shard && !(again && mayGetAgain(*attempt)))
-            tried.push_back(attempt->upstream->number);
-    }
-    return tried;
-}
-
 upstreams::Placement RequestRunner::placeFor(const Step& step, TimePoint now)
 {
     const auto& service = serviceOf(step.shard);
     upstreams::Placement placement;
     if (!step.sameUpstream) {
-        placement = traffic_.place(service, typical(), triedUpstreams(step.shard, false), *routes_, now);
+        placement = traffic_.place(service, typical(), triedUpstreams(attempts_, step.shard), *routes_, now);
         if (placement.upstream || placement.canWait)
             return placement;
     }
-    const auto again = nextAgain(step.shard);
-    if (!again || isOpen(step.shard))
+    const auto again = nextAgain(attempts_, step.shard, plan_->rules().repeatable);
+    if (!again || isOpen(attempts_, step.shard))
         return placement;
     if (now >= *again)
-        return traffic_.place(service, typical(), triedUpstreams(step.shard, true), *routes_, now);
+        return traffic_.place(service, typical(),
+            finallyTriedUpstreams(attempts_, step.shard, plan_->rules().repeatable), *routes_, now);
     placement.canWait = true;
     return placement;
 }
@@ -300,12 +230,12 @@
 {
     const auto& service = serviceOf(step.shard);
     const auto placement = placeFor(step, now);
-    const auto tried = triedUpstreams(step.shard, false);
+    const auto tried = triedUpstreams(attempts_, step.shard);
     if (!placement.upstream) {
         if (placement.canWait)
             return plan_->blocked(step.shard, now + busyRetry);
         // The send that is open may still be refused, and then its replica may get the request again.
-        if (isOpen(step.shard))
+        if (isOpen(attempts_, step.shard))
             return plan_->blocked(step.shard, plan_->rules().deadline);
         traffic_.requestLog().step(now, "no replica can take the request",
             { { "id", id_ }, { "service", service.str() }, { "tried", std::to_string(tried.size()) },
@@ -319,7 +249,7 @@
             return plan_->blocked(step.shard, now + budgetRetry);
         }
         ++repeats_;
-        const bool isHedge = isOpen(step.shard);
+        const bool isHedge = isOpen(attempts_, step.shard);
         (isHedge ? traffic_.metrics().hedges : traffic_.metrics().retries).add();
         traffic_.requestLog().step(now, isHedge ? "second copy sent" : "sent again",
             { { "id", id_ }, { "service", service.str() },
@@ -494,7 +424,8 @@
     if (failure_)
         return finish(*failure_, "failure of the replica", now);
     const bool late = now >= plan_->rules().deadline;
-    finish(plain(late ? statusGatewayTimeout : statusBadGateway), late ? "deadline passed" : "failed", now);
+    finish(plainAnswer(late ? statusGatewayTimeout : statusBadGateway), late ? "deadline passed" : "failed",
+        now);
 }
 
 void RequestRunner::finish(const http::Response& response, std::string_view outcome, TimePoint now)
@@ -516,19 +447,11 @@
 
 std::string RequestRunner::openSends(TimePoint now) const
 {
-    /** Enough to name the replicas that a request waited for, short enough for a line. */
-    constexpr int mostNamed = 6;
-    std::string text;
-    int named = 0;
-    for (const auto& attempt : attempts_) {
-        if (!attempt->sent || attempt->ended || plan_->isDone(attempt->shard))
-            continue;
-        if (++named > mostNamed)
-            return text + ",more";
-        text.append(text.empty() ? "" : ",").append(attempt->upstream->record.id.view());
-        text.append(":").append(std::to_string(toMicros(now - attempt->sentAt) / 1000)).append("ms");
-    }
-    return text.empty() ? "none" : text;
+    std::vector<AttemptPointer> open;
+    std::copy_if(attempts_.begin(), attempts_.end(), std::back_inserter(open), [this](const auto& attempt) {
+        return attempt->sent && !attempt->ended && !plan_->isDone(attempt->shard);
+    });
+    return describeOpen(open, now);
 }
 
 void RequestRunner::callerGone(TimePoint now)
--- a/libs/gateway/src/request_runner.h
+++ b/libs/gateway/src/request_runner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "attempts.h"
 #include "caller_connection.h"
 #include "dispatch/request_plan.h"
 #include "gather_answer.h"
@@ -28,41 +29,12 @@
         std::shared_ptr<const routing::RouteTable> routes, const routing::Route& route, Duration deadline);
 
 private:
-    /** One send to one replica. */
-    struct Attempt {
-        std::size_t shard = 0;
-        upstreams::UpstreamPointer upstream;
-        std::shared_ptr<UpstreamConnection> connection;
-        TimePoint startedAt {};
-        TimePoint sentAt {};
-        TimePoint endedAt {};
-        /** The replica had the request before. */
-        bool toSameUpstream = false;
-        /** The replica refused the request without having run it. */
-        bool wasRefused = false;
-        bool wasConnecting = false;
-        bool sent = false;
-        bool ended = false;
-        /** No longer counted by the plan: its connection took too long to open. */
-        bool detached = false;
-    };
-    using AttemptPointer = std::shared_ptr<Attempt>;
-
     void start(TimePoint now);
     void drive(TimePoint now);
     void wait(TimePoint until, TimePoint now);
     /** Starts the send of a step, or tells the plan why it cannot. */
     void send(const dispatch::Step& step, TimePoint now);
-    /**
-     * Replicas that a send to the shard may not go to: those that had the request before. One that refused
-     * it, or of which the answer of a repeatable request was lost, may get it again after a pause.
-     * @param again true to allow that
-     */
-    std::vector<std::uint64_t> triedUpstreams(std::size_t shard, bool again) const;
-    bool mayGetAgain(const Attempt& attempt) const;
-    /** When the first replica that had the request may get it again; empty when none may. */
-    std::optional<TimePoint> nextAgain(std::size_t shard) const;
-    bool isOpen(std::size_t shard) const;
+    /** Picks a replica that has not had the request, else one that may get it again. */
     upstreams::Placement placeFor(const dispatch::Step& step, TimePoint now);
     void connect(const AttemptPointer& attempt, TimePoint now);
     void sendOn(
@@ -78,7 +50,6 @@
     void refuse(TimePoint now);
     void fail(TimePoint now);
     void finish(const http::Response& response, std::string_view outcome, TimePoint now);
-    /** Replicas whose answers are lacking, with the age of the sends, for the log. */
     std::string openSends(TimePoint now) const;
     void callerGone(TimePoint now);
 
--- a/libs/gateway/tests/test_decisions.cpp
+++ b/libs/gateway/tests/test_decisions.cpp
@@ -1,4 +1,5 @@
 #include "answer_time.h"
+#include "attempts.h"
 #include "gather_answer.h"
 #include "membership.h"
 #include "reach_tracker.h"
@@ -176,6 +177,43 @@
     BOOST_TEST((returnAfterCutOff(10s, 50ms) == 50ms));
 }
 
+// A shard with one replica left failed every request that this replica refused for a moment.
+BOOST_AUTO_TEST_CASE(aReplicaThatRefusedMayGetTheRequestAgainForAWhile)
+{
+    const auto attempt = [](std::uint64_t number, bool refused, TimePoint endedAt) {
+        auto result = std::make_shared<Attempt>();
+        result->upstream = std::make_shared<upstreams::Upstream>();
+        result->upstream->number = number;
+        result->sent = result->ended = true;
+        result->wasRefused = refused;
+        result->endedAt = endedAt;
+        return result;
+    };
+    std::vector<AttemptPointer> attempts { attempt(1, true, start) };
+    BOOST_TEST((nextAgain(attempts, 0, false) == start + 20ms));
+    BOOST_TEST(!nextAgain(attempts, 1, true));
+    BOOST_TEST(triedUpstreams(attempts, 0).size() == 1U);
+    BOOST_TEST(finallyTriedUpstreams(attempts, 0, false).empty());
+    attempts.push_back(attempt(1, true, start + 25ms));
+    attempts.back()->toSameUpstream = true;
+    BOOST_TEST((nextAgain(attempts, 0, false) == start + 65ms));
+    for (int i = 0; i < 2; ++i) {
+        attempts.push_back(attempt(1, true, start + 70ms));
+        attempts.back()->toSameUpstream = true;
+    }
+    BOOST_TEST(!nextAgain(attempts, 0, false));
+
+    // A lost answer of a request that may not run twice is never followed by another send.
+    const std::vector<AttemptPointer> lost { attempt(2, false, start) };
+    BOOST_TEST(!nextAgain(lost, 0, false));
+    BOOST_TEST(finallyTriedUpstreams(lost, 0, false).size() == 1U);
+    BOOST_TEST((nextAgain(lost, 0, true) == start + 20ms));
+    attempts.push_back(std::make_shared<Attempt>());
+    attempts.back()->upstream = std::make_shared<upstreams::Upstream>();
+    BOOST_TEST(isOpen(attempts, 0));
+    BOOST_TEST(!isOpen(lost, 0));
+}
+
 // Answers that were due left while a small VM was sending another request's sub-requests, and were late.
 BOOST_AUTO_TEST_CASE(answersLeaveEarlyEnoughForASmallVm)
 {
--- a/libs/upstreams/tests/test_placement.cpp
+++ b/libs/upstreams/tests/test_placement.cpp
@@ -1,4 +1,5 @@
 #include "upstreams/cold_share.h"
+#include "upstreams/connection_share.h"
 #include "upstreams/placement.h"
 #include "upstreams/start_pacer.h"
 
@@ -272,3 +273,45 @@
     BOOST_TEST(!placement.upstream);
     BOOST_TEST(placement.canWait);
 }
+
+// With more VMs than connections, replicas reset two of three new connections.
+BOOST_AUTO_TEST_CASE(connectionsAreDividedBetweenTheVms)
+{
+    // Enough for several connections of each VM to each replica.
+    BOOST_TEST(connectionShare(31, 3, 8).perReplica == 2U);
+    BOOST_TEST(connectionShare(31, 3, 8).replicas == 3U);
+    // Fewer than VMs: one connection to some replicas, and never none.
+    BOOST_TEST(connectionShare(72, 3, 81).perReplica == 1U);
+    BOOST_TEST(connectionShare(72, 3, 81).replicas == 2U);
+    BOOST_TEST(connectionShare(5, 3, 500).replicas == 1U);
+    BOOST_TEST(connectionShare(5, 0, 0).perReplica >= 1U);
+    for (const unsigned vms : { 1U, 8U, 81U, 300U }) {
+        const auto share = connectionShare(72, 3, vms);
+        BOOST_TEST(share.perReplica * share.replicas * vms <= 72U * 3U + vms, vms);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(keptReplicasAreSpreadEvenlyAndReplaced)
+{
+    Shard shard;
+    const auto replicas = shard.registry.upstreams(ServiceId("shard"));
+    std::map<std::string, int> vmsPerReplica;
+    for (int i = 0; i < 81; ++i) {
+        const AvailabilityZone zone(std::string(1, static_cast<char>('a' + i % 4)));
+        const auto kept
+            = keptReplicas(replicas, 2, shard.registry, VmId("vm-" + std::to_string(i)), zone, start);
+        BOOST_REQUIRE(kept.size() == 2U);
+        // The own availability zone has a replica in all but one of the four.
+        BOOST_TEST((i % 4 == 3 || kept.front()->record.zone == zone));
+        for (const auto& replica : kept)
+            ++vmsPerReplica[replica->record.id.str()];
+    }
+    for (const auto& [replica, vms] : vmsPerReplica)
+        BOOST_TEST(vms <= 72, replica << " " << vms);
+    // A silent replica is replaced by another one.
+    shard.in("a").health.connectFailed(true, start);
+    const auto kept = keptReplicas(replicas, 2, shard.registry, VmId("vm-1"), AvailabilityZone("a"), start);
+    BOOST_REQUIRE(kept.size() == 2U);
+    for (const auto& replica : kept)
+        BOOST_TEST(replica->record.zone.str() != "a");
+}
