Count sends that may have run against the limit of replicas per attempt

Sends to the same replica after a refusal run nothing; after a failure they count. Test sendsThatMayHaveRunCountEachTime fails before.

--- a/libs/dispatch/include/dispatch/request_plan.h
+++ b/libs/dispatch/include/dispatch/request_plan.h
@@ -12,7 +12,7 @@
 struct PlanRules {
     /** True: the request may run more than once. */
     bool repeatable = false;
-    /** Most replicas of one shard that get the request. */
+    /** Most replicas of one shard that get the request, and how often it may run there. */
     unsigned maxUpstreams = 1;
     /** Services that are asked; 1 for a request to a single replica. */
     std::size_t shards = 1;
@@ -102,6 +102,8 @@
         unsigned connecting = 0;
         /** Written and not yet ended. */
         unsigned outstanding = 0;
+        /** Sends that were not refused: the request may have run that often. */
+        unsigned runs = 0;
         unsigned offered = 0;
         bool done = false;
         bool failed = false;
@@ -111,6 +113,7 @@
         TimePoint blockedUntil {};
     };
 
+    unsigned mostRuns() const { return rules_.maxUpstreams > 0 ? rules_.maxUpstreams : 1; }
     bool isExhausted(const Shard& shard) const;
     bool isIdle(const Shard& shard) const { return shard.outstanding == 0 && shard.connecting == 0; }
     Step giveUp() const;
--- a/libs/dispatch/src/request_plan.cpp
+++ b/libs/dispatch/src/request_plan.cpp
@@ -15,7 +15,7 @@
 {
     if (shard.done || !isIdle(shard))
         return false;
-    return shard.unavailable || (shard.failed && !rules_.repeatable);
+    return shard.unavailable || shard.runs >= mostRuns() || (shard.failed && !rules_.repeatable);
 }
 
 bool RequestPlan::mayHaveRun() const
@@ -48,7 +48,7 @@
     auto due = shard.blockedUntil;
     if (!isIdle(shard)) {
         // A second copy beside the first, which may still answer.
-        if (!rules_.repeatable || shard.sends >= rules_.maxUpstreams)
+        if (!rules_.repeatable || shard.sends >= rules_.maxUpstreams || shard.runs >= mostRuns())
             return step;
         due = std::max(due, shard.hedgeAt);
         step.repeat = true;
@@ -56,7 +56,7 @@
     step.until = due;
     if (now < due)
         return step;
-    step.sameUpstream = shard.sends >= std::max(1U, rules_.maxUpstreams);
+    step.sameUpstream = shard.sends >= mostRuns();
     step.optional = step.repeat && partsIn_ >= rules_.needed;
     step.kind = StepKind::Send;
     return step;
@@ -112,6 +112,7 @@
         ++entry.sends;
     }
     ++entry.outstanding;
+    ++entry.runs;
     ++entry.offered;
     entry.hedgeAt = now + hedgeDelay_(shard);
 }
@@ -129,12 +130,14 @@
 void RequestPlan::refused(std::size_t shard)
 {
     --shards_[shard].outstanding;
+    --shards_[shard].runs;
     shards_[shard].blockedUntil = {};
 }
 
 void RequestPlan::misdirected(std::size_t shard)
 {
     --shards_[shard].outstanding;
+    --shards_[shard].runs;
     --shards_[shard].sends;
 }
 
--- a/libs/dispatch/tests/test_request_plan.cpp
+++ b/libs/dispatch/tests/test_request_plan.cpp
@@ -172,6 +172,21 @@
     BOOST_TEST((plan.next(start + 22ms).kind == StepKind::Fail));
 }
 
+// Requests ran on more replicas than allowed when a replica that had failed one got it again.
+BOOST_AUTO_TEST_CASE(sendsThatMayHaveRunCountEachTime)
+{
+    auto plan = planOf(singleRules(true));
+    BOOST_TEST(!sendAll(plan, start).empty());
+    plan.failed(0);
+    // The only replica may get the request a second time, which is as often as it may run.
+    BOOST_TEST((plan.next(start + 1ms).kind == StepKind::Send));
+    plan.sent(0, false, start + 1ms);
+    plan.sentToSameUpstream(0);
+    BOOST_TEST((plan.next(start + 900ms).kind != StepKind::Send));
+    plan.failed(0);
+    BOOST_TEST((plan.next(start + 901ms).kind == StepKind::Fail));
+}
+
 // Addresses of replicas that are gone are used again: two stale entries must not end a request.
 BOOST_AUTO_TEST_CASE(aMisdirectedSendReachedNoReplicaOfTheService)
 {
