--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -201,7 +201,7 @@
         }
         traffic_.registry().applyListing(records, now);
         setZonesOut(std::move(zonesOut));
-        members_.listed(std::move(vms), now);
+        members_.listed(vms, now);
         hasListed_ = true;
         noteMembers();
         callers_.begin();
--- a/libs/gateway/src/membership.cpp
+++ b/libs/gateway/src/membership.cpp
@@ -36,14 +36,14 @@
         found->second.until = now + countedAfterLeaving;
 }
 
-void MemberCount::listed(std::map<VmId, MemberRecord> vms, TimePoint now)
+void MemberCount::listed(const std::map<VmId, MemberRecord>& vms, TimePoint now)
 {
     for (const auto& [vm, member] : vms_) {
         if (!vms.contains(vm))
             left(vm, now);
     }
-    for (auto& [vm, record] : vms)
-        joined(vm, std::move(record));
+    for (const auto& [vm, record] : vms)
+        joined(vm, record);
 }
 
 std::set<VmId> MemberCount::live(TimePoint now) const
--- a/libs/gateway/src/membership.h
+++ b/libs/gateway/src/membership.h
@@ -27,7 +27,7 @@
     void joined(const VmId& vm, MemberRecord record);
     void left(const VmId& vm, TimePoint now);
     /** Replaces what is known; VMs that are not listed have left. */
-    void listed(std::map<VmId, MemberRecord> vms, TimePoint now);
+    void listed(const std::map<VmId, MemberRecord>& vms, TimePoint now);
     /** VMs that share the limits, this one included. */
     std::set<VmId> live(TimePoint now) const;
     /** The registered VM, or this one, that reads the store for an availability zone; alike on all VMs. */
--- a/libs/gateway/tests/test_store_sync.cpp
+++ b/libs/gateway/tests/test_store_sync.cpp
@@ -108,6 +108,7 @@
 {
     StoreView view;
     std::vector<store::KeyValue> items;
+    items.reserve(1500);
     for (int i = 0; i < 1500; ++i)
         items.push_back(item("key-" + std::to_string(i), "1", 3));
     view.apply(full(items, 5), {});
