Keep the io_context of the upstream fleet's test running while no call is open

When the first poll of the books still shows the connection, the fixture waits on an io_context without work, which stops it for good, so the next call never ends. Ruled out: the emulator, whose books were right. No check is changed. The twins in the tests of home, etcd_store and key_value_store serve on the same io_context, which so always has work.

--- a/tools/upstream_emulator/tests/test_upstream_fleet.cpp
+++ b/tools/upstream_emulator/tests/test_upstream_fleet.cpp
@@ -93,6 +93,10 @@
     UpstreamFleet fleet;
     std::thread runner;
     boost::asio::io_context ioContext { 1 };
+    // Without it the io_context stops for good when a condition is waited for while no call is open.
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard {
+        ioContext.get_executor()
+    };
     HttpClient admin;
     HttpClient upstream;
 };
