--- a/libs/dispatch/include/dispatch/retry_budget.h
+++ b/libs/dispatch/include/dispatch/retry_budget.h
@@ -36,7 +36,7 @@
     void deposit(TimePoint now);
     /**
      * Withdraws one repeat if the budget permits it.
-     * @param vms number of live VMs that share the slack
+     * @param vms number of live VMs that share the slack; zero if this VM has no part of it
      * @param reserve fraction of the budget, 0 to 1, that is kept for more urgent repeats
      * @return false when the repeat must not be sent
      */
--- a/libs/dispatch/src/retry_budget.cpp
+++ b/libs/dispatch/src/retry_budget.cpp
@@ -55,7 +55,8 @@
     unsigned requests = 0;
     for (const auto& entry : intervals_)
         requests += entry.number >= first ? entry.requests : 0;
-    return usedRatioFraction * limit_.ratio * requests + usedSlackFraction * limit_.slack / std::max(1U, vms);
+    const double slack = vms > 0 ? usedSlackFraction * limit_.slack / vms : 0;
+    return usedRatioFraction * limit_.ratio * requests + slack;
 }
 
 double RetryBudget::available(TimePoint now, unsigned vms) const
--- a/libs/gateway/include/gateway/settings.h
+++ b/libs/gateway/include/gateway/settings.h
@@ -17,6 +17,11 @@
     std::string address;
     /** Zero lets the operating system choose a port. */
     std::uint16_t port = 0;
+
+    bool operator==(const ListenAddress& other) const
+    {
+        return address == other.address && port == other.port;
+    }
 };
 
 /** Settings of one VM's gateway. The caller must ensure that durations are positive. */
@@ -28,6 +33,11 @@
     ListenAddress metrics;
     /** Serves this VM's view of the store to other VMs; port zero disables it. */
     ListenAddress relay;
+    /** Takes over requests of other VMs of the availability zone; with port zero, this VM neither hands
+     * requests over nor takes them over. */
+    ListenAddress handover;
+    /** Dispatchers that each availability zone has at least. */
+    std::size_t minDispatchersPerZone = 2;
     /** Relay addresses of other VMs, used until the registered VMs are known. */
     std::vector<ListenAddress> seeds;
     std::string metricsPath = "/metrics";
@@ -50,6 +60,8 @@
     Duration maxPropagationDelay = std::chrono::seconds(3);
     /** Processor cores available to the VM; may be fractional. */
     double processors = 1;
+    /** Memory available to the process. */
+    std::size_t memoryBytes = std::size_t { 256 } * 1024 * 1024;
     /** Maximum number of open sockets, callers and upstreams together. */
     std::size_t maxSockets = 3000;
     /** Maximum rate of request log lines, per second; further lines are dropped and counted. */
--- a/libs/gateway/include/gateway/store_item.h
+++ b/libs/gateway/include/gateway/store_item.h
@@ -19,11 +19,15 @@
     bool isEvacuated = false;
 };
 
-/** Registration of a gateway VM, as stored. */
+/** Registration of a VM that dispatches, as stored. */
 struct MemberRecord {
     AvailabilityZone zone;
     /** Address that serves its view of the store to other VMs; port zero when there is none. */
     ListenAddress relay;
+    /** Address at which it takes over requests; port zero when it does not. */
+    ListenAddress handover {};
+    /** Processor cores; may be fractional. */
+    double processors = 1;
 };
 
 /** A gateway VM has registered or, without a record, its registration has ended. */
--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "caller_connection.h"
 
+#include "close_on_exception.h"
 #include "local_responses.h"
 
 namespace banyancroft::gateway {
@@ -47,7 +48,7 @@
                 return;
             if (failure)
                 return self->close();
-            self->handleBytes(count);
+            closeOnException(*self, [&] { self->handleBytes(count); });
         });
 }
 
--- /dev/null
+++ b/libs/gateway/src/frame_connection.cpp
@@ -0,0 +1,114 @@
+#include "frame_connection.h"
+
+#include "close_on_exception.h"
+#include "telemetry/log.h"
+
+namespace banyancroft::gateway {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/** Unsent bytes after which the peer is considered stuck. Above the largest answer of a replica. */
+constexpr std::size_t maxUnsentBytes = 16 * 1024 * 1024;
+
+} // namespace
+
+FrameConnection::FrameConnection(tcp::socket socket, std::size_t maxFrameBytes, Hooks hooks)
+    : socket_(std::move(socket))
+    , hooks_(std::move(hooks))
+    , reader_(maxFrameBytes)
+{
+}
+
+void FrameConnection::start(TimePoint now)
+{
+    lastReceivedAt_ = now;
+    error_code ignored;
+    // Without TCP_NODELAY frames are only slower, so a failure is ignored.
+    socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+    read();
+}
+
+void FrameConnection::read()
+{
+    socket_.async_read_some(boost::asio::buffer(chunk_),
+        [self = shared_from_this()](const error_code& failure, std::size_t count) {
+            if (self->closed_)
+                return;
+            if (failure)
+                return self->close();
+            closeOnException(*self, [&] { self->handleBytes(count, BootClock::now()); });
+        });
+}
+
+void FrameConnection::handleBytes(std::size_t count, TimePoint now)
+{
+    lastReceivedAt_ = now;
+    reader_.append({ chunk_.data(), count });
+    Error reason;
+    while (!closed_) {
+        auto frame = reader_.next(reason);
+        if (!frame)
+            break;
+        hooks_.frame(std::move(*frame));
+    }
+    if (reason) {
+        telemetry::log(telemetry::LogLevel::Warn, "handover",
+            "closing connection that carries malformed frames", { { "reason", toString(reason) } });
+        close();
+    }
+    if (!closed_)
+        read();
+}
+
+void FrameConnection::send(const handover::Frame& frame)
+{
+    if (closed_)
+        return;
+    writeBuffer_.append(handover::encode(frame));
+    if (writeBuffer_.size() - bytesWritten_ > maxUnsentBytes) {
+        telemetry::log(telemetry::LogLevel::Warn, "handover", "closing connection whose peer does not read",
+            { { "unsent_bytes", std::to_string(writeBuffer_.size() - bytesWritten_) } });
+        return close();
+    }
+    if (!writing_)
+        write();
+}
+
+void FrameConnection::write()
+{
+    error_code failure;
+    bytesWritten_ += socket_.write_some(
+        boost::asio::buffer(writeBuffer_.data() + bytesWritten_, writeBuffer_.size() - bytesWritten_),
+        failure);
+    if (bytesWritten_ == writeBuffer_.size()) {
+        writeBuffer_.clear();
+        bytesWritten_ = 0;
+        return;
+    }
+    // A broken connection is closed by the pending read, so that callers of send() are not re-entered.
+    if (failure && failure != boost::asio::error::would_block)
+        return;
+    writing_ = true;
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const error_code& waitFailure) {
+        self->writing_ = false;
+        if (!waitFailure && !self->closed_)
+            self->write();
+    });
+}
+
+void FrameConnection::close()
+{
+    if (closed_)
+        return;
+    const auto self = shared_from_this();
+    closed_ = true;
+    error_code ignored;
+    socket_.close(ignored);
+    hooks_.closed();
+}
+
+} // namespace banyancroft::gateway
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -1,5 +1,8 @@
 #include "gateway/gateway.h"
 
+#include "handover/dispatch_role.h"
+#include "handover_runner.h"
+#include "handover_server.h"
 #include "http_listener.h"
 #include "local_responses.h"
 #include "membership.h"
@@ -48,13 +51,25 @@
 constexpr double storePollFraction = 0.3;
 constexpr double peerPollFraction = 0.1;
 constexpr double staleFraction = 0.65;
+/** Time from the registration of a dispatcher until all VMs see it, as a fraction of the maximum propagation
+ * delay: one poll of the store and one of its reader. */
+constexpr double visibilityFraction = storePollFraction + peerPollFraction;
+/** Times in which a VM that has just started asks only its peers for a first view, see SyncIntervals. */
+constexpr Duration peersFirstAfterStart = std::chrono::milliseconds(300);
+constexpr Duration respondingPeersFirstAfterStart = std::chrono::milliseconds(1500);
+/** A VM with this many cores is expected to dispatch, so others depend on it from the start. */
+constexpr double expectedDispatcherProcessors = 0.25;
+/** Utilization above which a dispatcher declines offers. */
+constexpr double overloadedUtilization = 0.85;
 /** Callers may use 1 / callerSocketDivisor of the sockets; the rest is for replicas and the store. */
 constexpr std::size_t callerSocketDivisor = 2;
 
-SyncIntervals syncIntervals(Duration maxPropagationDelay)
+SyncIntervals syncIntervals(const Settings& settings)
 {
-    return { scaled(maxPropagationDelay, storePollFraction), scaled(maxPropagationDelay, peerPollFraction),
-        scaled(maxPropagationDelay, staleFraction) };
+    return { scaled(settings.maxPropagationDelay, storePollFraction),
+        scaled(settings.maxPropagationDelay, peerPollFraction),
+        scaled(settings.maxPropagationDelay, staleFraction), peersFirstAfterStart,
+        respondingPeersFirstAfterStart };
 }
 
 } // namespace
@@ -69,20 +84,28 @@
         , layout_(std::move(layout))
         , traffic_(ioContext, settings_, dialect_, metrics_, BootClock::now())
         , members_(settings_.vm)
-        , sync_(ioContext, store, layout_.watchedPrefix, syncIntervals(settings_.maxPropagationDelay),
-              syncHooks(), metrics_)
+        , sync_(ioContext, store, layout_.watchedPrefix, syncIntervals(settings_), syncHooks(), metrics_)
         , registration_(ioContext, store, layout_.memberPrefix + settings_.vm.str(),
-              layout_.encodeMember({ settings_.zone, settings_.relay }),
+              layout_.encodeMember(
+                  { settings_.zone, settings_.relay, settings_.handover, settings_.processors }),
               std::max<Duration>(settings_.minLeaseTtl, registrationLease))
         , callerListener_(ioContext, settings_.maxSockets / callerSocketDivisor,
-              [this](
-                  const CallerRequest& request) { RequestRunner::run(traffic_, request, BootClock::now()); })
+              [this](const CallerRequest& request) { serveCaller(request, BootClock::now()); })
         , readinessListener_(ioContext, maxProbeConnections,
               [this](const CallerRequest& request) { serveReadiness(request); })
         , metricsListener_(
               ioContext, maxProbeConnections, [this](const CallerRequest& request) { serveMetrics(request); })
         , relayListener_(
               ioContext, maxRelayConnections, [this](const CallerRequest& request) { serveRelay(request); })
+        , role_(
+              { settings_.minDispatchersPerZone, scaled(settings_.maxPropagationDelay, visibilityFraction) },
+              traffic_.uniformRandom())
+        , dispatchers_(ioContext)
+        , handoverServer_(traffic_, handoverServerHooks())
+        , handoverContext_ { traffic_, dispatchers_,
+            [this](const VmId& dispatcher) {
+                sync_.refresh(members_.relayAddress(dispatcher), BootClock::now());
+            } }
         , signals_(ioContext, SIGTERM, SIGINT, SIGHUP)
         , tickTimer_(ioContext)
         , shutdownTimer_(ioContext)
@@ -91,8 +114,12 @@
             [this] { return static_cast<double>(traffic_.configuration().version().value); });
         metrics_.gauge("banyancroft_gateway_upstreams", "Replicas that are registered",
             [this] { return static_cast<double>(traffic_.registry().size()); });
-        metrics_.gauge("banyancroft_gateway_vms", "Live VMs that share limits",
-            [this] { return static_cast<double>(traffic_.liveVms()); });
+        metrics_.gauge("banyancroft_gateway_dispatchers", "Live VMs that dispatch and share limits",
+            [this] { return static_cast<double>(traffic_.dispatchers().size()); });
+        metrics_.gauge("banyancroft_gateway_is_dispatcher", "1 while this VM dispatches",
+            [this] { return isDispatching() ? 1.0 : 0.0; });
+        metrics_.gauge("banyancroft_gateway_utilization", "Fraction of the processors that sends use",
+            [this] { return handoverServer_.utilization(); });
         metrics_.gauge("banyancroft_gateway_ready", "1 while the readiness probe answers 200",
             [this] { return isReadyNow(BootClock::now()) ? 1.0 : 0.0; });
         metrics_.gauge("banyancroft_view_age_seconds", "Time since the view was the newest of the store",
@@ -104,7 +131,8 @@
         if (!callerListener_.listen(settings_.callers, reason)
             || !readinessListener_.listen(settings_.readiness, reason)
             || !metricsListener_.listen(settings_.metrics, reason)
-            || (settings_.relay.port != 0 && !relayListener_.listen(settings_.relay, reason)))
+            || (settings_.relay.port != 0 && !relayListener_.listen(settings_.relay, reason))
+            || (usesTier() && !handoverServer_.listen(settings_.handover, reason)))
             return false;
         log(LogLevel::Info, "gateway", "started",
             { { "version", BANYANCROFT_VERSION }, { "zone", settings_.zone.str() },
@@ -114,7 +142,10 @@
         metricsListener_.startAccepting();
         if (settings_.relay.port != 0)
             relayListener_.startAccepting();
-        registration_.start();
+        members_.setDispatching(!usesTier());
+        updateDispatchers();
+        if (!usesTier())
+            registration_.start();
         waitForSignal();
         tick();
         return true;
@@ -131,14 +162,25 @@
                 return applyListing(update.content.entries);
             for (const auto& entry : update.content.entries)
                 applyChange(entry);
-            updateLiveVms();
+            updateDispatchers();
         };
         hooks.storeRecovered = [this](TimePoint at) { traffic_.registry().storeRecovered(at); };
         hooks.isReader = [this] { return members_.storeReader(settings_.zone) == settings_.vm; };
+        hooks.isSource = [this] { return isSourceOfChanges(); };
         hooks.peerAddress = [this](PeerChoice choice) { return peerAddress(choice); };
         return hooks;
     }
 
+    /** True if other VMs depend on this one for changes of the store. */
+    bool isSourceOfChanges() const
+    {
+        const auto& seeds = settings_.seeds;
+        const bool isSeed = std::any_of(seeds.begin(), seeds.end(),
+            [this](const ListenAddress& seed) { return seed.address == settings_.relay.address; });
+        const bool expectsToDispatch = !hasListing_ && settings_.processors >= expectedDispatcherProcessors;
+        return isDispatching() || isSeed || seeds.empty() || expectsToDispatch;
+    }
+
     std::optional<ListenAddress> peerAddress(PeerChoice choice)
     {
         if (choice == PeerChoice::Reader)
@@ -177,9 +219,13 @@
     StoreItem decode(const store::KeyValue& entry)
     {
         Error reason;
-        auto item = layout_.decode(entry, reason);
-        if (item)
-            return std::move(*item);
+        try {
+            if (auto item = layout_.decode(entry, reason))
+                return std::move(*item);
+        } catch (const std::exception& error) {
+            // The other entries of the update still have to be applied.
+            reason = { ErrorKind::Internal, error.what(), "report the value of this key" };
+        }
         malformedValues_.add();
         log(LogLevel::Warn, "store", "ignoring malformed value in the store",
             { { "key", entry.key }, { "revision", std::to_string(entry.modified.value) },
@@ -208,7 +254,8 @@
         setEvacuatedZones(std::move(evacuatedZones));
         members_.replaceAll(vms, now);
         hasListing_ = true;
-        updateLiveVms();
+        updateRole(now);
+        updateDispatchers();
         callerListener_.startAccepting();
     }
 
@@ -265,14 +312,84 @@
                 { limits.headerBytes, limits.bodyBytes }, { limits.headerTimeout, limits.idleTimeout });
     }
 
-    void updateLiveVms()
+    /** True if VMs of the availability zone hand requests to each other. */
+    bool usesTier() const { return settings_.handover.port != 0; }
+    bool isDispatching() const { return !usesTier() || role_.isDispatcher(); }
+
+    /** Takes or leaves the role of a dispatcher as the zone needs it. */
+    void updateRole(TimePoint now)
+    {
+        if (!usesTier() || !hasListing_ || stopping_)
+            return;
+        const auto others = members_.otherDispatchers(settings_.zone);
+        handover::RoleInputs inputs;
+        inputs.processors = settings_.processors;
+        inputs.others = others.size();
+        inputs.comparable = static_cast<std::size_t>(std::count_if(others.begin(), others.end(),
+            [this](const Dispatcher& other) { return other.processors > settings_.processors / 2; }));
+        inputs.ahead = members_.dispatchersAhead(settings_.zone, settings_.processors);
+        inputs.utilization
+            = role_.isDispatcher() ? handoverServer_.utilization() : dispatchers_.utilization();
+        inputs.wasDispatcher = members_.isRegistered(settings_.vm);
+        const bool before = role_.isDispatcher();
+        if (role_.update(inputs, now) == before)
+            return;
+        log(LogLevel::Info, "handover", before ? "no longer a dispatcher" : "now a dispatcher",
+            { { "others", std::to_string(inputs.others) },
+                { "comparable", std::to_string(inputs.comparable) },
+                { "ahead", std::to_string(inputs.ahead) },
+                { "utilization", std::to_string(inputs.utilization) },
+                { "was_dispatcher", inputs.wasDispatcher ? "yes" : "no" },
+                { "view_age_ms", std::to_string(toMillis(sync_.age(now))) } });
+        members_.setDispatching(!before);
+        before ? registration_.stop() : registration_.start();
+    }
+
+    void updateDispatchers()
     {
-        auto vms = members_.liveVms(BootClock::now());
-        if (vms == traffic_.vms())
+        const auto now = BootClock::now();
+        auto vms = members_.liveVms(now);
+        if (usesTier())
+            dispatchers_.setDispatchers(
+                isDispatching() ? std::vector<Dispatcher> {} : members_.otherDispatchers(settings_.zone),
+                now);
+        if (vms == traffic_.dispatchers())
             return;
-        log(LogLevel::Info, "membership", "number of live VMs changed",
-            { { "before", std::to_string(traffic_.liveVms()) }, { "now", std::to_string(vms.size()) } });
-        traffic_.setVms(std::move(vms));
+        log(LogLevel::Info, "membership", "number of live dispatchers changed",
+            { { "before", std::to_string(traffic_.dispatchers().size()) },
+                { "now", std::to_string(vms.size()) } });
+        traffic_.setDispatchers(std::move(vms));
+    }
+
+    HandoverServer::Hooks handoverServerHooks()
+    {
+        HandoverServer::Hooks hooks;
+        hooks.whyDeclined = [this]() -> std::optional<handover::DeclineReason> {
+            if (stopping_)
+                return handover::DeclineReason::Stopping;
+            if (!isDispatching() || !hasListing_)
+                return handover::DeclineReason::NotDispatching;
+            if (handoverServer_.utilization() > overloadedUtilization)
+                return handover::DeclineReason::Overloaded;
+            return std::nullopt;
+        };
+        hooks.configurationOutdated = [this] { sync_.refresh(std::nullopt, BootClock::now()); };
+        return hooks;
+    }
+
+    void serveCaller(const CallerRequest& request, TimePoint now)
+    {
+        traffic_.metrics().requests.add();
+        const auto incoming = incomingRequest(request);
+        if (!isDispatching() && dispatchers_.hasUsable())
+            return HandoverRunner::run(handoverContext_, incoming, now);
+        RequestRunner::run(traffic_, incoming, now);
+    }
+
+    /** True while this VM serves callers worse than those of other availability zones. */
+    bool isCutOff(TimePoint now)
+    {
+        return traffic_.reach().isCutOff(now) || (!isDispatching() && dispatchers_.cutOffSince());
     }
 
     bool isReadyNow(TimePoint now)
@@ -281,7 +398,7 @@
         inputs.hasConfiguration = traffic_.configuration().current() != nullptr;
         inputs.hasRegistrations = hasListing_;
         inputs.isStopping = stopping_;
-        inputs.isCutOff = traffic_.reach().isCutOff(now);
+        inputs.isCutOff = isCutOff(now);
         return isReady(inputs);
     }
 
@@ -300,8 +417,7 @@
             log(LogLevel::Info, "gateway", ready ? "ready" : "not ready",
                 { { "view_age_ms", std::to_string(toMillis(sync_.age(now))) },
                     { "config", std::to_string(traffic_.configuration().version().value) },
-                    { "cut_off", traffic_.reach().isCutOff(now) ? "yes" : "no" },
-                    { "stopping", stopping_ ? "yes" : "no" } });
+                    { "cut_off", isCutOff(now) ? "yes" : "no" }, { "stopping", stopping_ ? "yes" : "no" } });
         }
         request.connection->respond(response, false);
     }
@@ -323,12 +439,12 @@
         signals_.async_wait([this](const boost::system::error_code& failure, int signal) {
             if (failure)
                 return;
+            waitForSignal();
             if (signal == SIGHUP) {
                 reload();
             } else {
                 beginShutdown();
             }
-            waitForSignal();
         });
     }
 
@@ -363,14 +479,15 @@
             { { "connections", std::to_string(callerListener_.connectionCount()) },
                 { "busy", std::to_string(callerListener_.busyConnectionCount()) } });
         callerListener_.disableKeepAlive();
-        registration_.stop([] {});
+        registration_.stop();
         continueShutdown();
     }
 
     void continueShutdown()
     {
         const auto now = BootClock::now();
-        const auto pendingRequests = callerListener_.busyConnectionCount();
+        const auto pendingRequests
+            = callerListener_.busyConnectionCount() + handoverServer_.pendingRequests();
         if (shutdownPhase(now - stopRequestedAt_, settings_.stopGrace, pendingRequests)
             == ShutdownPhase::Exit) {
             log(LogLevel::Info, "gateway", "stopped",
@@ -384,6 +501,8 @@
 
     void tick()
     {
+        // First, so that an error in one tick does not end the ticks.
+        runAfter(tickTimer_, tickPeriod, [this] { tick(); });
         const auto now = BootClock::now();
         sync_.step(now);
         traffic_.tick(now);
@@ -394,11 +513,15 @@
         readinessListener_.expire(now);
         metricsListener_.expire(now);
         relayListener_.expire(now);
-        updateLiveVms();
+        updateRole(now);
+        updateDispatchers();
+        if (usesTier()) {
+            dispatchers_.tick(now);
+            handoverServer_.tick(now);
+        }
         if (now >= nextReload_)
             reload();
         telemetry::flushLog();
-        runAfter(tickTimer_, tickPeriod, [this] { tick(); });
     }
 
     boost::asio::io_context& ioContext_;
@@ -416,6 +539,10 @@
     HttpListener readinessListener_;
     HttpListener metricsListener_;
     HttpListener relayListener_;
+    handover::DispatchRole role_;
+    DispatcherPool dispatchers_;
+    HandoverServer handoverServer_;
+    HandoverContext handoverContext_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer tickTimer_;
     boost::asio::steady_timer shutdownTimer_;
--- a/libs/gateway/src/http_listener.cpp
+++ b/libs/gateway/src/http_listener.cpp
@@ -26,28 +26,19 @@
     return tcp::endpoint(ip, address.port);
 }
 
-HttpListener::HttpListener(boost::asio::io_context& ioContext, std::size_t maxConnections, Handler handler)
-    : acceptor_(ioContext)
-    , maxConnections_(maxConnections)
-    , handler_(std::move(handler))
-{
-}
-
-HttpListener::~HttpListener() { closeAll(); }
-
-bool HttpListener::listen(const ListenAddress& address, Error& reason)
+bool openListener(tcp::acceptor& acceptor, const ListenAddress& address, Error& reason)
 {
     const auto endpoint = parseEndpoint(address, reason);
     if (!endpoint)
         return false;
     error_code failure;
-    acceptor_.open(endpoint->protocol(), failure);
+    acceptor.open(endpoint->protocol(), failure);
     if (!failure)
-        acceptor_.set_option(tcp::acceptor::reuse_address(true), failure);
+        acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
     if (!failure)
-        acceptor_.bind(*endpoint, failure);
+        acceptor.bind(*endpoint, failure);
     if (!failure)
-        acceptor_.listen(listenBacklog, failure);
+        acceptor.listen(listenBacklog, failure);
     if (failure) {
         reason = { ErrorKind::Unavailable,
             "cannot listen on " + address.address + ":" + std::to_string(address.port) + ": "
@@ -58,6 +49,20 @@
     return true;
 }
 
+HttpListener::HttpListener(boost::asio::io_context& ioContext, std::size_t maxConnections, Handler handler)
+    : acceptor_(ioContext)
+    , maxConnections_(maxConnections)
+    , handler_(std::move(handler))
+{
+}
+
+HttpListener::~HttpListener() { closeAll(); }
+
+bool HttpListener::listen(const ListenAddress& address, Error& reason)
+{
+    return openListener(acceptor_, address, reason);
+}
+
 void HttpListener::startAccepting()
 {
     acceptingEnabled_ = true;
@@ -91,8 +96,9 @@
                 = std::make_shared<CallerConnection>(std::move(socket), limits_, std::move(hooks));
             connections_.insert(connection);
             connection->start(BootClock::now());
+            accept();
         }
-        accept();
+        // After a failure, expire() accepts again: running out of descriptors must not become a busy loop.
     });
 }
 
@@ -120,6 +126,7 @@
     }
     for (const auto& connection : overdue)
         connection->expire();
+    accept();
 }
 
 std::size_t HttpListener::busyConnectionCount() const
--- a/libs/gateway/src/http_listener.h
+++ b/libs/gateway/src/http_listener.h
@@ -37,7 +37,8 @@
     /** Closes the listening socket; open connections stay open. */
     void stopAccepting();
     void closeAll();
-    /** Ends connections whose request or idle timeout has passed. */
+    /** Ends connections whose request or idle timeout has passed, and accepts again after a failure; call
+     * about every 100 ms. */
     void expire(TimePoint now);
 
     std::size_t connectionCount() const { return connections_.size(); }
@@ -58,6 +59,12 @@
     std::unordered_set<std::shared_ptr<CallerConnection>> connections_;
 };
 
+/**
+ * Binds an acceptor and listens.
+ * @return false, with the cause in `reason`, if the address is invalid or cannot be bound
+ */
+bool openListener(boost::asio::ip::tcp::acceptor& acceptor, const ListenAddress& address, Error& reason);
+
 /** Parses an IP address; returns nullopt, with the cause in `reason`, if it is invalid. */
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(const ListenAddress& address, Error& reason);
 
--- a/libs/gateway/src/membership.cpp
+++ b/libs/gateway/src/membership.cpp
@@ -4,6 +4,9 @@
 #include "run_after.h"
 #include "telemetry/log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace banyancroft::gateway {
 
 namespace {
@@ -15,6 +18,7 @@
  * learned of its removal yet. */
 constexpr Duration removalDelay = std::chrono::seconds(5);
 constexpr Duration retryInterval = std::chrono::milliseconds(500);
+constexpr unsigned maxRetryDoublings = 3;
 /** Renewals per lease period. With two, the lease survives a failed renewal, which is retried soon. */
 constexpr int renewalsPerLease = 2;
 
@@ -49,9 +53,11 @@
 
 std::set<VmId> MemberTracker::liveVms(TimePoint now) const
 {
-    std::set<VmId> vms { self_ };
+    std::set<VmId> vms;
+    if (dispatching_)
+        vms.insert(self_);
     for (const auto& [vm, member] : members_) {
-        if (member.countedUntil > now)
+        if (vm != self_ && member.countedUntil > now)
             vms.insert(vm);
     }
     return vms;
@@ -59,19 +65,49 @@
 
 VmId MemberTracker::storeReader(const AvailabilityZone& zone) const
 {
-    auto best = self_;
-    auto bestWeight = rendezvousWeight(self_, zone.view());
+    std::optional<VmId> best;
+    // VMs of the zone come before all others.
+    std::pair<bool, std::uint64_t> bestRank;
+    const auto consider = [&](const VmId& vm, const AvailabilityZone& vmZone) {
+        const std::pair rank { vmZone == zone, rendezvousWeight(vm, zone.view()) };
+        if (best && rank <= bestRank)
+            return;
+        best = vm;
+        bestRank = rank;
+    };
+    if (dispatching_)
+        consider(self_, zone);
+    for (const auto& [vm, member] : members_) {
+        if (vm != self_ && member.countedUntil == TimePoint::max() && member.record.relay.port != 0)
+            consider(vm, member.record.zone);
+    }
+    return best.value_or(self_);
+}
+
+bool MemberTracker::isRegistered(const VmId& vm) const
+{
+    const auto found = members_.find(vm);
+    return found != members_.end() && found->second.countedUntil == TimePoint::max();
+}
+
+std::vector<Dispatcher> MemberTracker::otherDispatchers(const AvailabilityZone& zone) const
+{
+    std::vector<Dispatcher> dispatchers;
     for (const auto& [vm, member] : members_) {
-        if (member.countedUntil != TimePoint::max() || member.record.zone != zone
-            || member.record.relay.port == 0)
-            continue;
-        const auto weight = rendezvousWeight(vm, zone.view());
-        if (weight > bestWeight) {
-            best = vm;
-            bestWeight = weight;
-        }
+        if (vm != self_ && isRegistered(vm) && member.record.zone == zone && member.record.handover.port != 0)
+            dispatchers.push_back({ vm, member.record.handover, member.record.processors });
     }
-    return best;
+    return dispatchers;
+}
+
+std::size_t MemberTracker::dispatchersAhead(const AvailabilityZone& zone, double processors) const
+{
+    const std::pair own { processors, rendezvousWeight(self_, zone.view()) };
+    const auto dispatchers = otherDispatchers(zone);
+    return static_cast<std::size_t>(
+        std::count_if(dispatchers.begin(), dispatchers.end(), [&](const auto& other) {
+            return std::pair { other.processors, rendezvousWeight(other.vm, zone.view()) } > own;
+        }));
 }
 
 std::optional<ListenAddress> MemberTracker::relayAddress(const VmId& vm) const
@@ -103,70 +139,103 @@
 {
 }
 
-void Registration::start() { grantLease(); }
+template <typename Handler> auto Registration::whileActive(Handler handler)
+{
+    return [this, run = run_, handler = std::move(handler)](auto result, const Error& reason) {
+        if (active_ && run == run_)
+            handler(std::move(result), reason);
+    };
+}
+
+void Registration::start()
+{
+    if (active_)
+        return;
+    active_ = true;
+    ++run_;
+    consecutiveFailures_ = 0;
+    grantLease();
+}
+
+void Registration::retry(std::function<void()> next)
+{
+    const auto pause = retryInterval * (1U << std::min(consecutiveFailures_, maxRetryDoublings));
+    ++consecutiveFailures_;
+    runAfter(timer_, pause, std::move(next));
+}
 
 void Registration::grantLease()
 {
-    store_.grantLease(timeToLive_, [this](std::optional<store::LeaseGrant> grant, const Error& reason) {
-        if (stopping_)
-            return;
-        if (!grant) {
-            log(LogLevel::Warn, "membership", "cannot obtain registration lease, will retry",
-                { { "reason", toString(reason) } });
-            return runAfter(timer_, retryInterval, [this] { this->grantLease(); });
-        }
-        lease_ = grant->lease;
-        putRecord();
-    });
+    store_.grantLease(
+        timeToLive_, [this, run = run_](std::optional<store::LeaseGrant> grant, const Error& reason) {
+            if (!active_ || run != run_) {
+                if (grant)
+                    revoke(grant->lease);
+                return;
+            }
+            if (!grant) {
+                log(LogLevel::Warn, "membership", "cannot obtain registration lease, will retry",
+                    { { "reason", toString(reason) } });
+                return retry([this] { this->grantLease(); });
+            }
+            lease_ = grant->lease;
+            putRecord();
+        });
 }
 
 void Registration::putRecord()
 {
-    store_.put(key_, value_, lease_, [this](std::optional<store::Revision> revision, const Error& reason) {
-        if (stopping_)
-            return;
-        if (!revision) {
-            log(LogLevel::Warn, "membership", "cannot write registration, will retry",
-                { { "reason", toString(reason) } });
-            const bool lapsed = reason.kind == ErrorKind::NotFound;
-            return runAfter(timer_, retryInterval, [this, lapsed] { lapsed ? grantLease() : putRecord(); });
-        }
-        log(LogLevel::Info, "membership", "registered",
-            { { "key", key_ }, { "lease", std::to_string(lease_.value) },
-                { "revision", std::to_string(revision->value) } });
-        runAfter(timer_, timeToLive_ / renewalsPerLease, [this] { renewLease(); });
-    });
+    store_.put(key_, value_, lease_,
+        whileActive([this](std::optional<store::Revision> revision, const Error& reason) {
+            if (!revision) {
+                log(LogLevel::Warn, "membership", "cannot write registration, will retry",
+                    { { "reason", toString(reason) } });
+                const bool lapsed = reason.kind == ErrorKind::NotFound;
+                return retry([this, lapsed] { lapsed ? grantLease() : putRecord(); });
+            }
+            consecutiveFailures_ = 0;
+            log(LogLevel::Info, "membership", "registered",
+                { { "key", key_ }, { "lease", std::to_string(lease_.value) },
+                    { "revision", std::to_string(revision->value) } });
+            runAfter(timer_, timeToLive_ / renewalsPerLease, [this] { renewLease(); });
+        }));
 }
 
 void Registration::renewLease()
 {
-    store_.renewLease(lease_, [this](std::optional<store::LeaseGrant> grant, const Error& reason) {
-        if (stopping_)
-            return;
-        if (!grant && reason.kind == ErrorKind::NotFound) {
-            log(LogLevel::Warn, "membership", "registration lease expired, registering again",
-                { { "lease", std::to_string(lease_.value) } });
-            return this->grantLease();
-        }
-        if (!grant)
-            log(LogLevel::Warn, "membership", "cannot renew registration lease, will retry",
-                { { "reason", toString(reason) } });
-        runAfter(timer_, grant ? timeToLive_ / renewalsPerLease : retryInterval, [this] { renewLease(); });
-    });
+    store_.renewLease(
+        lease_, whileActive([this](std::optional<store::LeaseGrant> grant, const Error& reason) {
+            if (!grant && reason.kind == ErrorKind::NotFound) {
+                log(LogLevel::Warn, "membership", "registration lease expired, registering again",
+                    { { "lease", std::to_string(lease_.value) } });
+                lease_ = {};
+                return this->grantLease();
+            }
+            if (!grant) {
+                log(LogLevel::Warn, "membership", "cannot renew registration lease, will retry",
+                    { { "reason", toString(reason) } });
+                return retry([this] { renewLease(); });
+            }
+            consecutiveFailures_ = 0;
+            runAfter(timer_, timeToLive_ / renewalsPerLease, [this] { renewLease(); });
+        }));
 }
 
-void Registration::stop(std::function<void()> done)
+void Registration::revoke(store::LeaseId lease)
 {
-    stopping_ = true;
-    timer_.cancel();
-    if (!lease_)
-        return done();
-    store_.revokeLease(lease_, [done = std::move(done)](std::optional<bool> ended, const Error& reason) {
+    store_.revokeLease(lease, [](std::optional<bool> ended, const Error& reason) {
         if (!ended)
             log(LogLevel::Warn, "membership", "cannot revoke registration lease",
                 { { "reason", toString(reason) } });
-        done();
     });
 }
 
+void Registration::stop()
+{
+    active_ = false;
+    timer_.cancel();
+    if (lease_)
+        revoke(std::exchange(lease_, {}));
+}
+
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/membership.h
+++ b/libs/gateway/src/membership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "dispatcher_link.h"
 #include "gateway/store_item.h"
 #include "store/polled_store.h"
 
@@ -17,26 +18,36 @@
 namespace banyancroft::gateway {
 
 /**
- * Tracks the gateway VMs that share fleet-wide limits. A VM counts as soon as it registers, and for some
- * seconds after its registration ends, so that the shares never add up to more than the whole limit.
+ * Tracks the VMs that dispatch, which are the registered ones and share fleet-wide limits. A VM counts as
+ * soon as it registers, and for some seconds after its registration ends, so that the shares never add up to
+ * more than the whole limit.
  */
 class MemberTracker {
 public:
     explicit MemberTracker(VmId self);
 
+    /** Sets whether this VM dispatches, registered or not; true initially. */
+    void setDispatching(bool dispatching) { dispatching_ = dispatching; }
+
     void add(const VmId& vm, MemberRecord record);
     void remove(const VmId& vm, TimePoint now);
     /** Replaces the members by a full listing; VMs missing from it are removed as by remove(). */
     void replaceAll(const std::map<VmId, MemberRecord>& members, TimePoint now);
-    /** VMs that share the limits, including this one. */
+    /** VMs that share the limits, including this one if it dispatches. */
     std::set<VmId> liveVms(TimePoint now) const;
-    /** The VM, registered or this one, that polls the store on behalf of an availability zone. All VMs with
-     * the same members choose the same one. */
+    /** The VM that polls the store on behalf of an availability zone: one that dispatches there or, without
+     * any, in another zone; this one if none is known. All VMs with the same members choose the same one. */
     VmId storeReader(const AvailabilityZone& zone) const;
     /** Relay address of a VM; empty when the VM is not registered or serves no relay. */
     std::optional<ListenAddress> relayAddress(const VmId& vm) const;
     /** Relay addresses of all other registered VMs. */
     std::vector<ListenAddress> otherRelayAddresses() const;
+    /** Other registered VMs of an availability zone that take over requests. */
+    std::vector<Dispatcher> otherDispatchers(const AvailabilityZone& zone) const;
+    bool isRegistered(const VmId& vm) const;
+    /** Number of the other dispatchers of the zone that stay before this VM does when the tier shrinks.
+     * @param processors cores of this VM */
+    std::size_t dispatchersAhead(const AvailabilityZone& zone, double processors) const;
 
 private:
     struct Member {
@@ -47,9 +58,10 @@
 
     VmId self_;
     std::map<VmId, Member> members_;
+    bool dispatching_ = true;
 };
 
-/** Keeps this VM registered in the store under a lease. */
+/** Keeps this VM registered in the store under a lease while it dispatches. */
 class Registration {
 public:
     /** @param key key under which the VM registers  @param timeToLive time to live of the lease */
@@ -57,13 +69,19 @@
         std::string value, Duration timeToLive);
 
     void start();
-    /** Revokes the lease; `done` runs once the store has responded or the call has failed. */
-    void stop(std::function<void()> done);
+    /** Revokes the lease, also one that is being granted. */
+    void stop();
+    bool isActive() const { return active_; }
 
 private:
     void grantLease();
     void putRecord();
     void renewLease();
+    void revoke(store::LeaseId lease);
+    /** Calls `next` later, after a longer pause with each consecutive failure. */
+    void retry(std::function<void()> next);
+    /** Wraps a response handler, which is called only if the registration was not stopped meanwhile. */
+    template <typename Handler> auto whileActive(Handler handler);
 
     boost::asio::steady_timer timer_;
     store::PolledStore& store_;
@@ -71,7 +89,10 @@
     const std::string value_;
     const Duration timeToLive_;
     store::LeaseId lease_;
-    bool stopping_ = false;
+    /** Counts starts, so that responses to calls of an earlier start are told apart. */
+    unsigned run_ = 0;
+    unsigned consecutiveFailures_ = 0;
+    bool active_ = false;
 };
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/reach_tracker.cpp
+++ b/libs/gateway/src/reach_tracker.cpp
@@ -12,6 +12,8 @@
 constexpr Duration maxOtherZoneSilence = std::chrono::milliseconds(400);
 /** With fewer requests in the window, the VM is not considered cut off. */
 constexpr std::size_t minOutcomes = 4;
+/** Unanswered sends to other zones that count as silence; fewer may have met paused replicas. */
+constexpr std::size_t minSilentSends = 8;
 /** Two failed readiness probes at one per second, plus network delay. */
 constexpr Duration balancerDetectionTime = std::chrono::milliseconds(2200);
 
@@ -20,9 +22,36 @@
 void ReachTracker::recordOtherZoneContact(TimePoint now)
 {
     lastOtherZoneContact_ = now;
+    silentSends_ = 0;
     cutOff_ = false;
 }
 
+void ReachTracker::recordOtherZoneSend(TimePoint now)
+{
+    if (silentSends_++ == 0)
+        firstSilentSend_ = now;
+}
+
+void ReachTracker::restart(TimePoint now)
+{
+    outcomes_.clear();
+    silentSends_ = 0;
+    lastOtherZoneContact_ = now;
+}
+
+bool ReachTracker::areOtherZonesSilent(TimePoint now) const
+{
+    return silentSends_ >= minSilentSends && now - firstSilentSend_ >= maxOtherZoneSilence;
+}
+
+void ReachTracker::setCutOff(TimePoint now)
+{
+    if (cutOff_)
+        return;
+    cutOff_ = true;
+    cutOffSince_ = now;
+}
+
 void ReachTracker::record(bool served, TimePoint now)
 {
     outcomes_.push_back({ now, served });
@@ -41,8 +70,7 @@
     const bool mostFail = outcomes_.size() >= minOutcomes && 2 * failures > outcomes_.size();
     if (!mostFail || now - lastOtherZoneContact_ < maxOtherZoneSilence)
         return false;
-    cutOff_ = true;
-    cutOffSince_ = now;
+    setCutOff(now);
     return true;
 }
 
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -27,8 +27,6 @@
 constexpr double optionalRepeatReserve = 0.4;
 /** Until a response time has been measured, the latency objective divided by this value is assumed. */
 constexpr int defaultTypicalDivisor = 8;
-/** Retry-After while the VM has no configuration: time to start and to list the store. */
-constexpr Duration configurationRetryAfter = std::chrono::milliseconds(200);
 /** Retry-After for requests that no replica could serve; another VM may reach the replicas. */
 constexpr Duration unavailableRetryAfter = std::chrono::milliseconds(50);
 
@@ -36,50 +34,28 @@
 
 } // namespace
 
-void RequestRunner::run(TrafficManager& traffic, const CallerRequest& request, TimePoint now)
+void RequestRunner::run(TrafficManager& traffic, const IncomingRequest& request, TimePoint now)
 {
-    auto& metrics = traffic.metrics();
-    metrics.requests.add();
-    const auto& names = traffic.dialect().headers;
-    const auto id = std::string(request.head.fields.find(names.requestId).value_or(""));
-    const auto reject = [&](const http::Response& response, std::string_view reason) {
-        traffic.requestLog().logOutcome(now, "request rejected",
-            { { "id", id }, { "target", request.head.target }, { "reason", std::string(reason) },
-                { "status", std::to_string(response.status) },
-                { "config", std::to_string(traffic.configuration().version().value) } });
-        metrics.refused.add();
-        request.connection->respond(response, false);
-    };
-    const auto routes = traffic.configuration().current();
-    if (!routes)
-        return reject(unavailableResponse(names, configurationRetryAfter), "no configuration yet");
-    const auto host = request.head.fields.find("host").value_or("");
-    const auto* route = routes->match(host, request.head.target);
-    if (!route)
-        return reject(emptyResponse(statusNotFound), "no route for host and path");
-    if (id.empty())
-        return reject(emptyResponse(statusBadRequest), "request id is missing");
-    const auto deadlineText = request.head.fields.find(names.deadlineMillis);
-    const auto millis = deadlineText ? http::parseNumber(*deadlineText) : std::nullopt;
-    if (deadlineText && !millis)
-        return reject(emptyResponse(statusBadRequest), "deadline is no whole number");
-    const Duration deadline = millis ? std::chrono::milliseconds(*millis) : route->timeout;
-    std::make_shared<RequestRunner>(traffic, request, routes, *route, deadline)->start(now);
+    auto routed = routeRequest(traffic, request, now);
+    if (!routed)
+        return;
+    std::make_shared<RequestRunner>(traffic, request, std::move(*routed))->start(now);
 }
 
-RequestRunner::RequestRunner(TrafficManager& traffic, const CallerRequest& request,
-    std::shared_ptr<const routing::RouteTable> routes, const routing::Route& route, Duration deadline)
+RequestRunner::RequestRunner(TrafficManager& traffic, const IncomingRequest& request, RoutedRequest routed)
     : traffic_(traffic)
-    , caller_(request.connection)
+    , respond_(request.respond)
+    , onDisconnect_(request.onDisconnect)
     , head_(request.head)
     , body_(request.body)
-    , requestId_(request.head.fields.find(traffic.dialect().headers.requestId).value_or(""))
+    , requestId_(std::move(routed.requestId))
     , arrivedAt_(request.arrivedAt)
-    , openedConnection_(request.isFirstOnConnection)
-    , routes_(std::move(routes))
-    , route_(route)
-    , history_(traffic.history(route.name))
-    , deadline_(deadline)
+    , openedConnection_(request.openedConnection)
+    , returnDelay_(request.returnDelay)
+    , routes_(std::move(routed.routes))
+    , route_(*routed.route)
+    , history_(traffic.history(route_.name))
+    , deadline_(routed.deadline)
     , timer_(traffic.ioContext())
 {
 }
@@ -109,6 +85,7 @@
     times.previousAttemptsTime = std::max(Duration::zero(), history_.longestDeadline - deadline_);
     times.openedConnection = openedConnection_;
     times.callerDelay = traffic_.settings().callerDelay;
+    times.returnDelay = returnDelay_;
     times.shards = rules.shards;
     times.processors = traffic_.settings().processors;
     rules.partialAnswerAt = partialResponseTime(times);
@@ -119,6 +96,9 @@
 void RequestRunner::start(TimePoint now)
 {
     history_.longestDeadline = std::max(history_.longestDeadline, deadline_);
+    if (traffic_.isConfigurationOutdated())
+        return finish(unavailableResponse(traffic_.dialect().headers, configurationRetryAfter),
+            "newer configuration is in force", now);
     if (!route_.isGather()) {
         const auto* service = pickService(route_, traffic_.uniformRandom());
         if (!service)
@@ -136,7 +116,7 @@
     });
     if (route_.isGather() && !traffic_.isServable(route_, rules.requiredParts, now))
         return respondWithRefusal(now);
-    caller_->onDisconnect([weak = weak_from_this()] {
+    onDisconnect_([weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->handleDisconnect(BootClock::now());
     });
@@ -248,7 +228,7 @@
     }
     if (step.repeat) {
         const double reserve = step.optional ? optionalRepeatReserve : 0;
-        if (!traffic_.budget(service).tryWithdraw(now, traffic_.liveVms(), reserve)) {
+        if (!traffic_.tryWithdrawRepeat(service, reserve, now)) {
             traffic_.metrics().repeatsDenied.add();
             return plan_->blocked(step.shard, now + budgetRetryDelay);
         }
@@ -279,13 +259,18 @@
     attempt->openedConnection = true;
     plan_->connecting(attempt->shard, now);
     traffic_.metrics().connections.add();
+    const bool otherZone = attempt->upstream->record.zone != traffic_.settings().zone;
+    if (otherZone)
+        traffic_.reach().recordOtherZoneSend(now);
     auto& traffic = traffic_;
     traffic_.pool(attempt->upstream)
-        .connect(now, [weak = weak_from_this(), attempt, &traffic](auto connection) {
+        .connect(now, [weak = weak_from_this(), attempt, &traffic, otherZone](auto connection) {
             const auto self = weak.lock();
             const bool wanted
                 = self && !self->finished_ && !attempt->detached && !self->plan_->isDone(attempt->shard);
             const auto at = BootClock::now();
+            if (connection && otherZone)
+                traffic.reach().recordOtherZoneContact(at);
             if (connection && wanted) {
                 self->sendOnConnection(attempt, connection, at);
                 return self->runPlan(at);
@@ -358,6 +343,7 @@
             { { "id", requestId_ }, { "upstream", attempt->upstream->record.id.str() },
                 { "end",
                     outcome == ExchangeOutcome::Malformed      ? "malformed"
+                        : outcome == ExchangeOutcome::TooLong  ? "too long"
                         : outcome == ExchangeOutcome::TimedOut ? "timeout"
                                                                : "broken" },
                 { "after_ms", formatMillis(now - attempt->sentAt) } });
@@ -450,7 +436,7 @@
             { "config", std::to_string(routes_->configuration().version.value) },
             { "config_age_ms", formatMillis(now - traffic_.configuration().acceptedAt()) } });
     // Closing the connection makes the caller reconnect, which the load balancer can direct to another VM.
-    caller_->respond(response, traffic_.reach().isCutOff(now));
+    respond_(response, traffic_.reach().isCutOff(now));
 }
 
 std::string RequestRunner::describeOpenSends(TimePoint now) const
--- a/libs/gateway/src/request_runner.h
+++ b/libs/gateway/src/request_runner.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "attempts.h"
-#include "caller_connection.h"
 #include "dispatch/request_plan.h"
 #include "gather_response.h"
+#include "request_routing.h"
 #include "traffic_manager.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -24,10 +24,9 @@
 class RequestRunner : public std::enable_shared_from_this<RequestRunner> {
 public:
     /** Rejects the request immediately if it cannot be routed, otherwise starts a runner for it. */
-    static void run(TrafficManager& traffic, const CallerRequest& request, TimePoint now);
+    static void run(TrafficManager& traffic, const IncomingRequest& request, TimePoint now);
 
-    RequestRunner(TrafficManager& traffic, const CallerRequest& request,
-        std::shared_ptr<const routing::RouteTable> routes, const routing::Route& route, Duration deadline);
+    RequestRunner(TrafficManager& traffic, const IncomingRequest& request, RoutedRequest routed);
 
 private:
     void start(TimePoint now);
@@ -61,12 +60,14 @@
     dispatch::PlanRules planRules() const;
 
     TrafficManager& traffic_;
-    std::shared_ptr<CallerConnection> caller_;
+    const std::function<void(const http::Response&, bool)> respond_;
+    const std::function<void(std::function<void()>)> onDisconnect_;
     http::RequestHead head_;
     std::string body_;
     std::string requestId_;
     const TimePoint arrivedAt_;
     const bool openedConnection_;
+    const Duration returnDelay_;
     std::shared_ptr<const routing::RouteTable> routes_;
     const routing::Route& route_;
     RouteHistory& history_;
--- a/libs/gateway/src/response_timing.cpp
+++ b/libs/gateway/src/response_timing.cpp
@@ -16,7 +16,10 @@
 
 } // namespace
 
-Duration responseDelay(const ResponseTimingInputs& inputs) { return 2 * inputs.callerDelay + responseMargin; }
+Duration responseDelay(const ResponseTimingInputs& inputs)
+{
+    return 2 * inputs.callerDelay + inputs.returnDelay + responseMargin;
+}
 
 TimePoint partialResponseTime(const ResponseTimingInputs& inputs)
 {
--- a/libs/gateway/src/response_timing.h
+++ b/libs/gateway/src/response_timing.h
@@ -18,6 +18,8 @@
     bool openedConnection = false;
     /** One-way network delay between callers and the VM. */
     Duration callerDelay {};
+    /** Time that the response takes to the VM that the caller is connected to, if that is another one. */
+    Duration returnDelay {};
     std::size_t shards = 1;
     /** Processor cores available to the VM; may be fractional. */
     double processors = 1;
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -66,8 +66,12 @@
 {
     SyncInputs inputs;
     inputs.hasView = !view_.isEmpty();
+    inputs.sinceStart = now - startedAt_;
     inputs.viewAge = age(now);
     inputs.isReader = hooks_.isReader();
+    inputs.isSource = hooks_.isSource();
+    if (lastPeerResponseAt_)
+        inputs.sincePeerResponse = now - *lastPeerResponseAt_;
     inputs.sinceStoreResponse = now - lastStoreResponseAt_;
     inputs.sincePeerRequest = now - lastPeerRequestAt_;
     if (!storeRequestPending_ && now >= nextStoreRequestAt_ && shouldPollStore(inputs, intervals_))
@@ -79,6 +83,23 @@
         requestFromPeer(*peer, now);
 }
 
+void StoreSync::refresh(const std::optional<ListenAddress>& peer, TimePoint now)
+{
+    if (peer) {
+        if (!peerRequestPending_)
+            requestFromPeer(*peer, now);
+        return;
+    }
+    if (hooks_.isReader()) {
+        if (!storeRequestPending_ && now >= nextStoreRequestAt_)
+            requestFromStore(now);
+        return;
+    }
+    const auto reader = hooks_.peerAddress(PeerChoice::Reader);
+    if (reader && !peerRequestPending_)
+        requestFromPeer(*reader, now);
+}
+
 void StoreSync::requestFromStore(TimePoint now)
 {
     storeRequestPending_ = true;
@@ -181,6 +202,7 @@
             peerRequestPending_ = false;
             if (!response)
                 return handlePeerFailure(peer, failure);
+            lastPeerResponseAt_ = BootClock::now();
             if (response->status != statusOk)
                 return handlePeerFailure(peer,
                     { ErrorKind::Unavailable,
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -38,6 +38,8 @@
         std::function<void(TimePoint)> storeRecovered;
         /** True when this VM reads the store for its availability zone. */
         std::function<bool()> isReader;
+        /** True when other VMs depend on this one for changes. */
+        std::function<bool()> isSource;
         /** Address of a peer of the chosen kind; empty when none is known. */
         std::function<std::optional<ListenAddress>(PeerChoice)> peerAddress;
     };
@@ -45,6 +47,8 @@
     StoreSync(boost::asio::io_context& ioContext, store::PolledStore& store, std::string prefix,
         SyncIntervals intervals, Hooks hooks, telemetry::Metrics& metrics);
 
+    /** Asks a VM that has newer changes, or if none is given the usual source, at once. */
+    void refresh(const std::optional<ListenAddress>& peer, TimePoint now);
     /** Sends the requests that are due; call about every 100 ms. */
     void step(TimePoint now);
     const StoreView& view() const { return view_; }
@@ -79,6 +83,7 @@
     TimePoint lastStoreResponseAt_ {};
     TimePoint nextStoreRequestAt_ {};
     TimePoint lastPeerRequestAt_ {};
+    std::optional<TimePoint> lastPeerResponseAt_;
     unsigned consecutiveStoreFailures_ = 0;
     TimePoint storeFailingSince_ {};
     bool peerFailing_ = false;
--- a/libs/gateway/src/sync_sources.h
+++ b/libs/gateway/src/sync_sources.h
@@ -2,6 +2,8 @@
 
 #include "base/time.h"
 
+#include <optional>
+
 namespace banyancroft::gateway {
 
 /** Intervals at which a VM polls its sources of changes. */
@@ -12,6 +14,11 @@
     Duration peerPoll {};
     /** View age from which a VM no longer relies on its usual source alone. */
     Duration staleAfter {};
+    /** Time after the start in which a VM that others do not depend on lists the store only if no peer
+     * responds. */
+    Duration peersFirstAfterStart {};
+    /** The same if a peer responds but has no view yet either. */
+    Duration respondingPeersFirstAfterStart {};
 };
 
 /** Inputs of the choice of a source. */
@@ -25,19 +32,39 @@
     Duration sinceStoreResponse {};
     /** Time since the last request to a peer. */
     Duration sincePeerRequest {};
+    /** Other VMs depend on this one: it dispatches, or they ask it when they start. */
+    bool isSource = true;
+    /** Time since the start of the process. */
+    Duration sinceStart {};
+    /** Time since the last response of a peer, whether or not it had news; empty if there was none. */
+    std::optional<Duration> sincePeerResponse;
 };
 
+/** View age, in multiples of staleAfter, at which a VM polls the store although peers respond: it may reach
+ * the store while none of them does. */
+constexpr int staleFactorDespitePeers = 3;
+
 /**
  * Whether the VM polls the store now.
  *
  * Calls to the store are limited and priced, and many VMs need its changes. Therefore one VM of each
- * availability zone reads the store and the others poll that VM. A VM with a stale view polls the store
- * itself and, in case the store refuses it, other VMs as well.
+ * availability zone reads the store and the others poll that VM. A VM with a stale view polls other VMs and,
+ * if others depend on it or no other VM responds, the store itself. The same holds for a VM that has just
+ * started, so that neither an outage of the store nor a restart of all VMs leads to calls of each VM.
  */
 inline bool shouldPollStore(const SyncInputs& inputs, const SyncIntervals& intervals)
 {
-    if (!inputs.hasView || inputs.viewAge >= intervals.staleAfter)
-        return true;
+    if (!inputs.hasView) {
+        return inputs.isSource
+            || inputs.sinceStart >= (inputs.sincePeerResponse ? intervals.respondingPeersFirstAfterStart
+                                                              : intervals.peersFirstAfterStart);
+    }
+    if (inputs.viewAge >= intervals.staleAfter) {
+        const bool peersRespond
+            = inputs.sincePeerResponse && *inputs.sincePeerResponse < intervals.staleAfter;
+        return inputs.isSource || !peersRespond
+            || inputs.viewAge >= staleFactorDespitePeers * intervals.staleAfter;
+    }
     return inputs.isReader && inputs.sinceStoreResponse >= intervals.storePoll;
 }
 
@@ -53,7 +80,8 @@
 /** Chooses the peer to poll now; None when none is due. */
 inline PeerChoice choosePeer(const SyncInputs& inputs, const SyncIntervals& intervals)
 {
-    if (inputs.sincePeerRequest < intervals.peerPoll)
+    // Without a view the VM serves nobody, so it tries one peer after the other.
+    if (inputs.hasView && inputs.sincePeerRequest < intervals.peerPoll)
         return PeerChoice::None;
     if (!inputs.hasView || inputs.viewAge >= intervals.staleAfter)
         return PeerChoice::Any;
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -1,5 +1,6 @@
 #include "traffic_manager.h"
 
+#include "gather_response.h"
 #include "telemetry/log.h"
 #include "upstream_response.h"
 #include "upstreams/cold_share.h"
@@ -18,6 +19,10 @@
 constexpr Duration startupCautionPeriod = std::chrono::seconds(4);
 /** Fraction of a cold replica's request rate that all VMs together use. */
 constexpr double coldRateUtilization = 0.8;
+/** Responses that are being received may use 1 / responseMemoryDivisor of the memory. */
+constexpr std::size_t responseMemoryDivisor = 4;
+/** A tick that is later than this shows that the process was stalled. */
+constexpr Duration maxTickDelay = std::chrono::milliseconds(350);
 
 std::string_view eventMessage(upstreams::RegistryEvent event)
 {
@@ -54,6 +59,15 @@
           metrics.counter("banyancroft_gateway_upstream_failures_total", "Requests without usable answer"))
     , connections(metrics.counter("banyancroft_gateway_connections_total", "Connections opened to replicas"))
     , droppedLines(metrics.counter("banyancroft_gateway_log_dropped_total", "Request lines not written"))
+    , offers(metrics.counter("banyancroft_handover_offers_total", "Requests offered to dispatchers"))
+    , offersTimedOut(metrics.counter(
+          "banyancroft_handover_offers_timed_out_total", "Offers that a dispatcher did not accept in time"))
+    , offersDeclined(
+          metrics.counter("banyancroft_handover_offers_declined_total", "Offers that a dispatcher declined"))
+    , handedOver(
+          metrics.counter("banyancroft_handover_accepted_total", "Requests that a dispatcher took over"))
+    , sentDirectly(metrics.counter("banyancroft_handover_sent_directly_total",
+          "Requests that no dispatcher took over, sent from this VM"))
     , answerSeconds(metrics.latency("banyancroft_gateway_answer_seconds", "First byte read to answer"))
     , upstreamSeconds(
           metrics.latency("banyancroft_gateway_upstream_seconds", "Request sent to answer of the replica"))
@@ -72,6 +86,7 @@
           [this](upstreams::RegistryEvent event, const upstreams::Upstream& upstream) {
               registryChanged(event, upstream);
           })
+    , responseMemory_(settings.memoryBytes / responseMemoryDivisor)
     , random_(std::random_device {}())
 {
 }
@@ -91,8 +106,8 @@
 {
     auto& pool = pools_[upstream->number];
     if (!pool)
-        pool = std::make_unique<UpstreamPool>(
-            ioContext_, upstream, dialect_.headers.requestId, startedAt_ + startupCautionPeriod);
+        pool = std::make_unique<UpstreamPool>(ioContext_, upstream, dialect_.headers.requestId,
+            responseMemory_, startedAt_ + startupCautionPeriod);
     return *pool;
 }
 
@@ -118,7 +133,7 @@
 {
     /** Number of repeats that suffices for one to two seconds of a VM's traffic. */
     constexpr double sufficientRepeats = 8;
-    return std::clamp(budget(service).available(now, liveVms()) / sufficientRepeats, 0.0, 1.0);
+    return std::clamp(budget(service).available(now, slackSharers()) / sufficientRepeats, 0.0, 1.0);
 }
 
 upstreams::ColdRequestLimiter& TrafficManager::coldLimiter(const upstreams::Upstream& upstream)
@@ -133,7 +148,8 @@
         return std::numeric_limits<double>::infinity();
     const double sharedColdRate
         = service->coldRequestsPerSecond * settings_.coldOvershoot + settings_.coldSlack;
-    return upstreams::coldShare(upstream.record.id, coldRateUtilization * sharedColdRate, vms_, settings_.vm);
+    return upstreams::coldShare(
+        upstream.record.id, coldRateUtilization * sharedColdRate, dispatchers_, settings_.vm);
 }
 
 upstreams::Placement TrafficManager::place(const ServiceId& service, Duration typical,
@@ -141,8 +157,9 @@
 {
     const auto* declared = routes.service(service);
     const auto candidates = registry_.upstreams(service);
-    const auto share
-        = upstreams::connectionShare(declared ? declared->maxConnections : 1, candidates.size(), liveVms());
+    const auto share = isDispatcher() ? upstreams::connectionShare(declared ? declared->maxConnections : 1,
+                           candidates.size(), static_cast<unsigned>(dispatchers_.size()))
+                                      : upstreams::ConnectionShare { 1, 0 };
     // Idle connections are kept to these replicas only. The others serve overflow, on connections that are
     // closed after each request.
     const bool reusesAll = share.replicas >= candidates.size();
@@ -218,17 +235,40 @@
 {
     if (upstream.isCold(now))
         coldLimiter(upstream).sent(now);
+    if (upstream.record.zone != settings_.zone)
+        reach_.recordOtherZoneSend(now);
 }
 
 void TrafficManager::tick(TimePoint now)
 {
     registry_.applyDeferredRemovals(now);
+    updateReach(now);
     for (auto& [number, connectionPool] : pools_)
         connectionPool->expire(now);
     probeUnresponsiveReplicas(now);
     removeUnusedPools();
 }
 
+void TrafficManager::updateReach(TimePoint now)
+{
+    if (now - std::exchange(lastTickAt_, now) >= maxTickDelay)
+        reach_.restart(now);
+    if (reach_.areOtherZonesSilent(now) && !isOwnZoneSufficient(now))
+        reach_.setCutOff(now);
+}
+
+bool TrafficManager::isOwnZoneSufficient(TimePoint now) const
+{
+    const auto routes = configuration_.current();
+    if (!routes)
+        return true;
+    const auto& all = routes->configuration().routes;
+    return std::all_of(all.begin(), all.end(), [&](const routing::Route& route) {
+        const auto needed = requiredShards(route.gather.shards.size(), route.gather.minCoverage);
+        return !route.isGather() || countServableShards(route, &settings_.zone, now) >= needed;
+    });
+}
+
 void TrafficManager::probeUnresponsiveReplicas(TimePoint now)
 {
     const auto routes = configuration_.current();
@@ -284,14 +324,22 @@
 }
 
 bool TrafficManager::isServable(const routing::Route& route, std::size_t needed, TimePoint now) const
+{
+    return countServableShards(route, nullptr, now) >= needed;
+}
+
+std::size_t TrafficManager::countServableShards(
+    const routing::Route& route, const AvailabilityZone* zone, TimePoint now) const
 {
     const auto hasCandidate = [&](const ServiceId& service) {
         const auto candidates = registry_.upstreams(service);
-        return std::any_of(candidates.begin(), candidates.end(),
-            [&](const auto& upstream) { return upstreams::isCandidate(*upstream, registry_, now); });
+        return std::any_of(candidates.begin(), candidates.end(), [&](const auto& upstream) {
+            return (!zone || upstream->record.zone == *zone)
+                && upstreams::isCandidate(*upstream, registry_, now);
+        });
     };
     const auto& shards = route.gather.shards;
-    return static_cast<std::size_t>(std::count_if(shards.begin(), shards.end(), hasCandidate)) >= needed;
+    return static_cast<std::size_t>(std::count_if(shards.begin(), shards.end(), hasCandidate));
 }
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/traffic_manager.h
+++ b/libs/gateway/src/traffic_manager.h
@@ -45,6 +45,11 @@
     telemetry::Counter& upstreamFailures;
     telemetry::Counter& connections;
     telemetry::Counter& droppedLines;
+    telemetry::Counter& offers;
+    telemetry::Counter& offersTimedOut;
+    telemetry::Counter& offersDeclined;
+    telemetry::Counter& handedOver;
+    telemetry::Counter& sentDirectly;
     telemetry::LatencyHistogram& answerSeconds;
     telemetry::LatencyHistogram& upstreamSeconds;
 };
@@ -98,11 +103,32 @@
     void recordStart(const upstreams::Upstream& upstream, TimePoint now);
     /** Unspent retry budget of a service, from 0 (none) to 1 (sufficient for about a second of traffic). */
     double remainingBudgetShare(const ServiceId& service, TimePoint now);
+    /**
+     * Takes one repeat from the retry budget of the service.
+     * @param reserve fraction of the budget, 0 to 1, that is kept for more urgent repeats
+     */
+    bool tryWithdrawRepeat(const ServiceId& service, double reserve, TimePoint now)
+    {
+        return budget(service).tryWithdraw(now, slackSharers(), reserve);
+    }
 
-    /** Sets the live VMs that share limits with this one, including itself. */
-    void setVms(std::set<VmId> vms) { vms_ = std::move(vms); }
-    const std::set<VmId>& vms() const { return vms_; }
-    unsigned liveVms() const { return std::max(1U, static_cast<unsigned>(vms_.size())); }
+    /**
+     * Sets the live dispatchers, which share the fleet-wide limits. A VM that is not among them may still
+     * send requests, but uses no part of what is divided: retry slack, rates of cold replicas and kept
+     * connections.
+     */
+    void setDispatchers(std::set<VmId> vms) { dispatchers_ = std::move(vms); }
+    const std::set<VmId>& dispatchers() const { return dispatchers_; }
+    bool isDispatcher() const { return dispatchers_.contains(settings_.vm); }
+
+    /** Records that another VM uses a configuration, so that this one does not fall behind it. */
+    void setNewestVersionSeen(ConfigVersion version)
+    {
+        newestVersionSeen_ = std::max(newestVersionSeen_, version);
+    }
+    ConfigVersion newestVersionSeen() const { return newestVersionSeen_; }
+    /** True while another VM is known to use a newer configuration. */
+    bool isConfigurationOutdated() const { return newestVersionSeen_ > configuration_.version(); }
 
     /** Expires overdue requests and connections and probes unresponsive replicas; call every few 100 ms. */
     void tick(TimePoint now);
@@ -113,6 +139,14 @@
     const ReachTracker& reach() const { return reach_; }
 
 private:
+    /** Number of VMs that share the retry slack; zero if this one has no part of it. */
+    unsigned slackSharers() const { return isDispatcher() ? static_cast<unsigned>(dispatchers_.size()) : 0; }
+    /** Number of shards of a scatter-gather route with a candidate replica, in `zone` if given. */
+    std::size_t countServableShards(
+        const routing::Route& route, const AvailabilityZone* zone, TimePoint now) const;
+    /** True if the replicas of this VM's availability zone could serve all scatter-gather routes. */
+    bool isOwnZoneSufficient(TimePoint now) const;
+    void updateReach(TimePoint now);
     upstreams::ColdRequestLimiter& coldLimiter(const upstreams::Upstream& upstream);
     void probeUnresponsiveReplicas(TimePoint now);
     void probeUnresponsiveReplica(const upstreams::UpstreamPointer& upstream, TimePoint now);
@@ -130,6 +164,8 @@
     RequestLog requestLog_;
     upstreams::Registry registry_;
     routing::ActiveConfiguration configuration_;
+    /** Declared before the connections that use it. */
+    ResponseMemory responseMemory_;
     std::unordered_map<std::uint64_t, std::unique_ptr<UpstreamPool>> pools_;
     std::unordered_map<std::uint64_t, upstreams::ColdRequestLimiter> coldLimiters_;
     std::unordered_map<ServiceId, dispatch::RetryBudget> budgets_;
@@ -137,7 +173,9 @@
     std::mt19937_64 random_;
     std::uniform_real_distribution<double> uniform_ { 0, 1 };
     ReachTracker reach_;
-    std::set<VmId> vms_;
+    std::set<VmId> dispatchers_;
+    ConfigVersion newestVersionSeen_;
+    TimePoint lastTickAt_ {};
 };
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/upstream_connection.cpp
+++ b/libs/gateway/src/upstream_connection.cpp
@@ -1,5 +1,7 @@
 #include "upstream_connection.h"
 
+#include "close_on_exception.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
@@ -26,6 +28,10 @@
 {
 }
 
+UpstreamConnection::~UpstreamConnection() { releaseMemory(); }
+
+void UpstreamConnection::releaseMemory() { hooks_.memory->release(std::exchange(heldBytes_, 0)); }
+
 void UpstreamConnection::connect(
     const tcp::endpoint& upstream, TimePoint deadline, std::function<void(const error_code&)> handler)
 {
@@ -86,7 +92,7 @@
             if (self->closed_)
                 return;
             if (!failure)
-                return self->handleBytes(count);
+                return closeOnException(*self, [&] { self->handleBytes(count); });
             // A response without a length ends with an orderly close of the connection, but not with a reset.
             if (failure == boost::asio::error::eof && self->exchange_
                 && self->reader_.end() == http::ReadState::Complete) {
@@ -102,18 +108,25 @@
     // No request is pending, so these bytes cannot be a response.
     if (!exchange_)
         return closeWith(ExchangeOutcome::Malformed);
+    const bool fits = hooks_.memory->add(heldBytes_, count);
+    heldBytes_ += count;
+    if (!fits)
+        return closeWith(ExchangeOutcome::TooLong);
     while (exchange_ && !closed_ && !readBuffer_.empty()) {
         std::size_t consumed = 0;
         const auto state = reader_.read(readBuffer_, consumed);
         readBuffer_.erase(0, consumed);
         if (state == http::ReadState::Incomplete)
             break;
+        if (state == http::ReadState::HeaderTooLong || state == http::ReadState::BodyTooLong)
+            return closeWith(ExchangeOutcome::TooLong);
         if (state != http::ReadState::Complete)
             return closeWith(ExchangeOutcome::Malformed);
         const auto responseId = reader_.response().fields.find(requestIdField_);
         if (responseId && *responseId != exchange_->requestId) {
             // A duplicate response to an earlier request; the response to the current one follows.
             reader_.begin(exchange_->withoutBody);
+            releaseMemory();
             continue;
         }
         return complete();
@@ -162,6 +175,7 @@
 void UpstreamConnection::finishExchange(ExchangeOutcome outcome, const ExchangeResponse* response)
 {
     exchange_.reset();
+    releaseMemory();
     if (const auto handler = std::exchange(handler_, nullptr))
         handler(outcome, response);
 }
@@ -191,6 +205,8 @@
 
 void UpstreamConnection::expire() { closeWith(ExchangeOutcome::TimedOut); }
 
+void UpstreamConnection::close() { closeWith(ExchangeOutcome::Broken); }
+
 void UpstreamConnection::abandon() { closeWith(ExchangeOutcome::Abandoned); }
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/upstream_connection.h
+++ b/libs/gateway/src/upstream_connection.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "http/message_reader.h"
+#include "response_memory.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -22,6 +23,8 @@
     Broken,
     /** The received bytes are not a valid response; the request may have been executed. */
     Malformed,
+    /** The response exceeds a limit on its size; the request may have been executed. */
+    TooLong,
     /** No complete response was received by the deadline. */
     TimedOut,
     /** The owner of the connection cancelled the exchange. */
@@ -61,9 +64,14 @@
         std::function<void(UpstreamConnection&)> closed;
         /** Returns the current time. */
         std::function<TimePoint()> now;
+        /** Memory of the responses on all connections; outlives the connection. */
+        ResponseMemory* memory = nullptr;
     };
 
     UpstreamConnection(boost::asio::io_context& ioContext, std::string requestIdField, Hooks hooks);
+    ~UpstreamConnection();
+    UpstreamConnection(const UpstreamConnection&) = delete;
+    UpstreamConnection& operator=(const UpstreamConnection&) = delete;
 
     /** @param handler called once, with an empty error code on success */
     void connect(const boost::asio::ip::tcp::endpoint& upstream, TimePoint deadline,
@@ -76,6 +84,8 @@
     void expire();
     /** Closes the connection; a pending exchange ends as Abandoned. */
     void abandon();
+    /** Closes the connection; a pending exchange ends as Broken. */
+    void close();
 
     bool isOpen() const { return open_; }
     /** True if the connection was lost after it had been established. */
@@ -89,6 +99,7 @@
     void write();
     void read();
     void handleBytes(std::size_t count);
+    void releaseMemory();
     void complete();
     void finishExchange(ExchangeOutcome outcome, const ExchangeResponse* response);
     void closeWith(ExchangeOutcome outcome);
@@ -102,6 +113,8 @@
     std::array<char, 4096> chunk_ {};
     /** Bytes received but not yet parsed. */
     std::string readBuffer_;
+    /** Bytes of the current response that count in hooks_.memory. */
+    std::size_t heldBytes_ = 0;
     std::string writeBuffer_;
     std::size_t bytesWritten_ = 0;
     std::optional<Exchange> exchange_;
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -25,10 +25,11 @@
 } // namespace
 
 UpstreamPool::UpstreamPool(boost::asio::io_context& ioContext, upstreams::UpstreamPointer upstream,
-    std::string requestIdField, TimePoint cautiousUntil)
+    std::string requestIdField, ResponseMemory& memory, TimePoint cautiousUntil)
     : ioContext_(ioContext)
     , upstream_(std::move(upstream))
     , requestIdField_(std::move(requestIdField))
+    , memory_(memory)
     , cautiousUntil_(cautiousUntil)
     , handshakeTime_(defaultHandshakeTime)
 {
@@ -77,6 +78,7 @@
     hooks.idle = [this](UpstreamConnection& connection) { release(connection.shared_from_this()); };
     hooks.closed = [this](UpstreamConnection& connection) { removeClosed(connection); };
     hooks.now = [] { return BootClock::now(); };
+    hooks.memory = &memory_;
     auto connection = std::make_shared<UpstreamConnection>(ioContext_, requestIdField_, std::move(hooks));
     connections_.push_back(connection);
     ++connecting_;
--- a/libs/gateway/src/upstream_pool.h
+++ b/libs/gateway/src/upstream_pool.h
@@ -24,9 +24,10 @@
 public:
     using ConnectHandler = std::function<void(std::shared_ptr<UpstreamConnection>)>;
 
-    /** @param cautiousUntil new connections are used only after a settle time until then */
+    /** @param memory must outlive the pool  @param cautiousUntil new connections are used only after a settle
+     * time until then */
     UpstreamPool(boost::asio::io_context& ioContext, upstreams::UpstreamPointer upstream,
-        std::string requestIdField, TimePoint cautiousUntil);
+        std::string requestIdField, ResponseMemory& memory, TimePoint cautiousUntil);
     ~UpstreamPool();
     UpstreamPool(const UpstreamPool&) = delete;
     UpstreamPool& operator=(const UpstreamPool&) = delete;
@@ -75,6 +76,7 @@
     boost::asio::io_context& ioContext_;
     upstreams::UpstreamPointer upstream_;
     std::string requestIdField_;
+    ResponseMemory& memory_;
     std::size_t limit_ = 1;
     bool reusesConnections_ = true;
     TimePoint cautiousUntil_;
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fake_replica.h"
+#include "gateway/event_loop.h"
 #include "gateway/gateway.h"
 
 #include <boost/asio/connect.hpp>
@@ -30,6 +31,8 @@
     /** While true, all calls fail as unavailable. */
     bool isDown = false;
     std::map<std::string, store::KeyValue> keys;
+    /** Removed keys, with the revision of the removal. */
+    std::map<std::string, std::uint64_t> removals;
     std::uint64_t revision = 10;
     /** Limit on the changes in one poll response; the next poll returns the following ones. */
     std::size_t maxChangesPerPoll = 1000000;
@@ -37,6 +40,13 @@
     void set(const std::string& key, std::string value)
     {
         keys[key] = { key, std::move(value), { ++revision }, {} };
+        removals.erase(key);
+    }
+
+    void remove(const std::string& key)
+    {
+        if (keys.erase(key) > 0)
+            removals[key] = ++revision;
     }
 
     void list(std::string_view, store::Callback<store::Listing> callback) override
@@ -59,6 +69,10 @@
                 if (value.modified > after)
                     changes.entries.push_back(value);
             }
+            for (const auto& [key, removedAt] : removals) {
+                if (removedAt > after.value)
+                    changes.entries.push_back({ key, {}, {}, {} });
+            }
             changes.revision = { revision };
             if (changes.entries.size() <= maxChangesPerPoll)
                 return changes;
@@ -230,7 +244,8 @@
         while (result.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
             if (std::chrono::steady_clock::now() > timeLimit)
                 throw std::runtime_error("caller part of the test did not finish within 30 s");
-            ioContext.run_for(std::chrono::milliseconds(5));
+            runGuarded([this] { ioContext.run_for(std::chrono::milliseconds(5)); },
+                [this](std::string_view) { ++handlerErrors; });
         }
         return result.get();
     }
@@ -273,10 +288,15 @@
             + "\r\n\r\n" + body;
     }
 
+    /** Reserves a port for the lifetime of the fixture: a bound socket keeps other processes from taking it,
+     * and since it does not listen, the gateway can bind it as well. */
     std::uint16_t freePort()
     {
-        boost::asio::ip::tcp::acceptor probe(ioContext, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-        return probe.local_endpoint().port();
+        using boost::asio::ip::tcp;
+        auto& socket = reservedPorts_.emplace_back(ioContext, tcp::v4());
+        socket.set_option(tcp::socket::reuse_address(true));
+        socket.bind({ boost::asio::ip::make_address("127.0.0.1"), 0 });
+        return socket.local_endpoint().port();
     }
 
     boost::asio::io_context ioContext { 1 };
@@ -288,8 +308,12 @@
     std::map<std::string, upstreams::UpstreamRecord> records;
     std::vector<std::unique_ptr<FakeReplica>> replicas;
     std::unique_ptr<Gateway> gateway;
+    /** Exceptions that handlers have thrown. */
+    int handlerErrors = 0;
 
 private:
+    std::vector<boost::asio::ip::tcp::socket> reservedPorts_;
+
     std::optional<StoreItem> decode(const std::string& key)
     {
         if (key == "configuration")
--- a/libs/gateway/tests/test_decisions.cpp
+++ b/libs/gateway/tests/test_decisions.cpp
@@ -172,6 +172,36 @@
     BOOST_TEST(!ReachTracker().isCutOff(start));
 }
 
+// A zone is cut off while requests are under way: they wait for their deadlines, so none has failed yet.
+BOOST_AUTO_TEST_CASE(unansweredSendsToOtherZonesShowSilence)
+{
+    ReachTracker reach;
+    reach.recordOtherZoneContact(start);
+    for (int i = 0; i < 7; ++i)
+        reach.recordOtherZoneSend(start + 10ms);
+    // A few sends may have met paused replicas.
+    BOOST_TEST(!reach.areOtherZonesSilent(start + 2s));
+    reach.recordOtherZoneSend(start + 20ms);
+    BOOST_TEST(!reach.areOtherZonesSilent(start + 300ms));
+    BOOST_TEST(reach.areOtherZonesSilent(start + 420ms));
+    BOOST_TEST(!reach.isCutOff(start + 420ms));
+    reach.setCutOff(start + 420ms);
+    BOOST_TEST(reach.isCutOff(start + 430ms));
+    reach.recordOtherZoneContact(start + 5s);
+    BOOST_TEST(!reach.areOtherZonesSilent(start + 5s));
+    BOOST_TEST(!reach.isCutOff(start + 5s));
+}
+
+// After a suspension the responses of other zones wait to be read, which is no silence.
+BOOST_AUTO_TEST_CASE(stalledVmDoesNotTakeOtherZonesForSilent)
+{
+    ReachTracker reach;
+    for (int i = 0; i < 20; ++i)
+        reach.recordOtherZoneSend(start);
+    reach.restart(start + 3s);
+    BOOST_TEST(!reach.areOtherZonesSilent(start + 3s));
+}
+
 BOOST_AUTO_TEST_CASE(callersOfCutOffVmRetryAfterBalancerDetectsIt)
 {
     BOOST_TEST((retryDelayAfterCutOff(0ms, 50ms) > 2s));
--- a/libs/gateway/tests/test_store_sync.cpp
+++ b/libs/gateway/tests/test_store_sync.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 const TimePoint start { 100s };
-const SyncIntervals intervals { 900ms, 300ms, 2s };
+const SyncIntervals intervals { 900ms, 300ms, 2s, 300ms, 1500ms };
 
 store::KeyValue item(const std::string& key, const std::string& value, std::uint64_t revision)
 {
@@ -38,10 +38,11 @@
             = [this](const ViewUpdate& update) { updatedKeys += update.content.entries.size(); };
         hooks.storeRecovered = [this](TimePoint) { ++recoveries; };
         hooks.isReader = [] { return true; };
+        hooks.isSource = [] { return true; };
         hooks.peerAddress = [this](PeerChoice) { return peer; };
     }
 
-    StoreSync makeSync() { return { ioContext, store, "", { 1h, 1h, 2h }, hooks, metrics }; }
+    StoreSync makeSync() { return { ioContext, store, "", { 1h, 1h, 2h, 0ms, 0ms }, hooks, metrics }; }
 
     template <typename Condition> bool runUntil(Condition condition)
     {
@@ -150,7 +151,7 @@
 // Calls to the store are limited, so only readers and VMs with a stale view may poll it.
 BOOST_AUTO_TEST_CASE(readersPollStoreAndOthersPollReaders)
 {
-    SyncInputs inputs { true, 100ms, true, 500ms, 400ms };
+    SyncInputs inputs { true, 100ms, true, 500ms, 400ms, true, 10s, {} };
     BOOST_TEST(!shouldPollStore(inputs, intervals));
     inputs.sinceStoreResponse = 900ms;
     BOOST_TEST(shouldPollStore(inputs, intervals));
@@ -161,14 +162,39 @@
     inputs.sincePeerRequest = 200ms;
     BOOST_TEST((choosePeer(inputs, intervals) == PeerChoice::None));
     // A reader that is gone, or cut off from the store, must not keep the others from receiving changes.
-    inputs = { true, 2s, false, 10s, 400ms };
+    inputs = { true, 2s, false, 10s, 400ms, true, 10s, 1s };
     BOOST_TEST(shouldPollStore(inputs, intervals));
     BOOST_TEST((choosePeer(inputs, intervals) == PeerChoice::Any));
-    inputs = { false, 0ms, false, 0ms, 400ms };
+    inputs = { false, 0ms, false, 0ms, 400ms, true, 0ms, {} };
     BOOST_TEST(shouldPollStore(inputs, intervals));
     BOOST_TEST((choosePeer(inputs, intervals) == PeerChoice::Any));
 }
 
+// The store is down, or all VMs of a large fleet restart: only VMs on which others depend may call it, as
+// long as peers respond.
+BOOST_AUTO_TEST_CASE(vmsThatNobodyDependsOnAskPeersFirst)
+{
+    SyncInputs stale { true, 2s, false, 10s, 400ms, false, 60s, 200ms };
+    BOOST_TEST(!shouldPollStore(stale, intervals));
+    BOOST_TEST((choosePeer(stale, intervals) == PeerChoice::Any));
+    stale.viewAge = 6s;
+    BOOST_TEST(shouldPollStore(stale, intervals));
+    stale.viewAge = 2s;
+    stale.sincePeerResponse = 2s;
+    BOOST_TEST(shouldPollStore(stale, intervals));
+
+    SyncInputs started { false, 0ms, false, 10s, 400ms, false, 200ms, {} };
+    BOOST_TEST(!shouldPollStore(started, intervals));
+    BOOST_TEST((choosePeer(started, intervals) == PeerChoice::Any));
+    started.sinceStart = 300ms;
+    BOOST_TEST(shouldPollStore(started, intervals));
+    // A peer that has just started as well is expected to have a view soon.
+    started.sincePeerResponse = 10ms;
+    BOOST_TEST(!shouldPollStore(started, intervals));
+    started.sinceStart = 1500ms;
+    BOOST_TEST(shouldPollStore(started, intervals));
+}
+
 // Each availability zone has one reader, and all its VMs must choose the same one.
 BOOST_AUTO_TEST_CASE(allVmsChooseSameReader)
 {
--- /dev/null
+++ b/libs/handover/include/handover/frames.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "base/error.h"
+#include "base/time.h"
+#include "http/message_writer.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace banyancroft::handover {
+
+/**
+ * Messages on the connection between an ingress VM and a dispatcher.
+ *
+ * A request is handed over in two phases: the ingress VM offers it, the dispatcher accepts, and the ingress
+ * VM lets it begin. A dispatcher that is suspended or cut off never accepts, so the ingress VM can offer the
+ * request to another one, or send it itself, and the request still runs at most once. `number` identifies the
+ * request on its connection.
+ */
+struct Offer {
+    std::uint64_t number = 0;
+    /** Newest configuration that the ingress VM knows to be in force. */
+    std::uint64_t configurationVersion = 0;
+    /** The request of the caller, serialised as HTTP. */
+    std::string request;
+};
+
+/** The dispatcher is ready to run the request; it waits for Begin for a limited time. */
+struct Acceptance {
+    std::uint64_t number = 0;
+    std::uint64_t configurationVersion = 0;
+};
+
+enum class DeclineReason : std::uint8_t {
+    Stopping = 0,
+    NotDispatching = 1,
+    /** The dispatcher's configuration is older than that of the ingress VM. */
+    OlderConfiguration = 2,
+    Overloaded = 3,
+    /** Begin arrived too late. */
+    Lapsed = 4,
+    Malformed = 5,
+};
+
+std::string_view toString(DeclineReason reason);
+
+/** The dispatcher has not run the request and will not run it. */
+struct Decline {
+    std::uint64_t number = 0;
+    DeclineReason reason = DeclineReason::Stopping;
+    std::uint64_t configurationVersion = 0;
+};
+
+struct Begin {
+    std::uint64_t number = 0;
+    /** Time since the first byte of the request arrived at the ingress VM. */
+    Duration elapsed {};
+    /** Time that the answer takes back to the ingress VM. */
+    Duration returnDelay {};
+    /** The request is the first one on the caller's connection. */
+    bool openedConnection = false;
+};
+
+struct Answer {
+    std::uint64_t number = 0;
+    http::Response response;
+};
+
+/** The ingress VM no longer needs the answer. */
+struct Cancel {
+    std::uint64_t number = 0;
+};
+
+/** State of the dispatcher; sent on connect, on changes and as the answer to StatusQuery. */
+struct Status {
+    /** False while the dispatcher stops or has left the tier. */
+    bool accepting = false;
+    /** Time for which the dispatcher has been cut off from the other availability zones; empty if it is not.
+     */
+    std::optional<Duration> cutOffFor;
+    /** Fraction of the dispatcher's processor share in use, 0 to 1. */
+    double utilization = 0;
+};
+
+struct StatusQuery { };
+
+using Frame = std::variant<Offer, Acceptance, Decline, Begin, Answer, Cancel, Status, StatusQuery>;
+
+/** Encodes a frame as its length in four bytes, most significant first, followed by a MessagePack array. */
+std::string encode(const Frame& frame);
+
+/** Splits the bytes of a connection into frames. Holds at most one incomplete frame. */
+class FrameReader {
+public:
+    /** @param maxFrameBytes a longer frame is an error */
+    explicit FrameReader(std::size_t maxFrameBytes)
+        : maxFrameBytes_(maxFrameBytes)
+    {
+    }
+
+    void append(std::string_view bytes) { buffer_.append(bytes); }
+    /**
+     * @return the next complete frame; empty if more bytes are needed or, with a reason, if the bytes are not
+     * a frame. After such an error the connection cannot be read any further.
+     */
+    std::optional<Frame> next(Error& reason);
+
+private:
+    const std::size_t maxFrameBytes_;
+    std::string buffer_;
+    std::size_t consumed_ = 0;
+};
+
+} // namespace banyancroft::handover
--- /dev/null
+++ b/libs/handover/src/frames.cpp
@@ -0,0 +1,199 @@
+#include "handover/frames.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace banyancroft::handover {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t lengthBytes = 4;
+/** Consumed bytes are discarded from the buffer once there are this many. */
+constexpr std::size_t compactAtBytes = 64 * 1024;
+
+enum class FrameType : std::uint8_t {
+    Offer = 1,
+    Acceptance,
+    Decline,
+    Begin,
+    Answer,
+    Cancel,
+    Status,
+    StatusQuery,
+};
+
+template <typename... Values> Json message(FrameType type, Values&&... values)
+{
+    return Json::array({ static_cast<unsigned>(type), std::forward<Values>(values)... });
+}
+
+Json toJson(const Offer& offer)
+{
+    return message(FrameType::Offer, offer.number, offer.configurationVersion, offer.request);
+}
+
+Json toJson(const Acceptance& acceptance)
+{
+    return message(FrameType::Acceptance, acceptance.number, acceptance.configurationVersion);
+}
+
+Json toJson(const Decline& decline)
+{
+    return message(FrameType::Decline, decline.number, static_cast<unsigned>(decline.reason),
+        decline.configurationVersion);
+}
+
+Json toJson(const Begin& begin)
+{
+    return message(FrameType::Begin, begin.number, toMicros(begin.elapsed), toMicros(begin.returnDelay),
+        begin.openedConnection);
+}
+
+Json toJson(const Answer& answer)
+{
+    auto fields = Json::array();
+    for (const auto& [name, value] : answer.response.fields)
+        fields.push_back(Json::array({ name, value }));
+    return message(
+        FrameType::Answer, answer.number, answer.response.status, std::move(fields), answer.response.body);
+}
+
+Json toJson(const Cancel& cancel) { return message(FrameType::Cancel, cancel.number); }
+
+Json toJson(const Status& status)
+{
+    return message(FrameType::Status, status.accepting,
+        status.cutOffFor ? Json(toMicros(*status.cutOffFor)) : Json(), status.utilization);
+}
+
+Json toJson(const StatusQuery&) { return message(FrameType::StatusQuery); }
+
+Duration micros(const Json& json)
+{
+    constexpr std::int64_t maxMicros = std::int64_t { 24 } * 3600 * 1000 * 1000;
+    const auto count = json.get<std::int64_t>();
+    if (!json.is_number_integer() || count < 0 || count > maxMicros)
+        throw std::invalid_argument("duration is out of range");
+    return std::chrono::microseconds(count);
+}
+
+Decline parseDecline(const Json& json)
+{
+    const auto reason = json.at(2).get<unsigned>();
+    if (reason > static_cast<unsigned>(DeclineReason::Malformed))
+        throw std::invalid_argument("unknown reason " + std::to_string(reason));
+    return { json.at(1), static_cast<DeclineReason>(reason), json.at(3) };
+}
+
+Answer parseAnswer(const Json& json)
+{
+    Answer answer;
+    json.at(1).get_to(answer.number);
+    json.at(2).get_to(answer.response.status);
+    for (const auto& field : json.at(3))
+        answer.response.fields.emplace_back(field.at(0).get<std::string>(), field.at(1).get<std::string>());
+    json.at(4).get_to(answer.response.body);
+    return answer;
+}
+
+Status parseStatus(const Json& json)
+{
+    Status status;
+    json.at(1).get_to(status.accepting);
+    if (!json.at(2).is_null())
+        status.cutOffFor = micros(json.at(2));
+    json.at(3).get_to(status.utilization);
+    return status;
+}
+
+Frame parseFrame(const Json& json)
+{
+    switch (static_cast<FrameType>(json.at(0).get<unsigned>())) {
+    case FrameType::Offer:
+        return Offer { json.at(1), json.at(2), json.at(3) };
+    case FrameType::Acceptance:
+        return Acceptance { json.at(1), json.at(2) };
+    case FrameType::Decline:
+        return parseDecline(json);
+    case FrameType::Begin:
+        return Begin { json.at(1), micros(json.at(2)), micros(json.at(3)), json.at(4) };
+    case FrameType::Answer:
+        return parseAnswer(json);
+    case FrameType::Cancel:
+        return Cancel { json.at(1) };
+    case FrameType::Status:
+        return parseStatus(json);
+    case FrameType::StatusQuery:
+        return StatusQuery {};
+    }
+    throw std::invalid_argument("unknown frame type");
+}
+
+} // namespace
+
+std::string_view toString(DeclineReason reason)
+{
+    switch (reason) {
+    case DeclineReason::Stopping:
+        return "stopping";
+    case DeclineReason::NotDispatching:
+        return "not dispatching";
+    case DeclineReason::OlderConfiguration:
+        return "older configuration";
+    case DeclineReason::Overloaded:
+        return "overloaded";
+    case DeclineReason::Lapsed:
+        return "lapsed";
+    case DeclineReason::Malformed:
+        return "malformed request";
+    }
+    return "unknown";
+}
+
+std::string encode(const Frame& frame)
+{
+    const auto json = std::visit([](const auto& value) { return toJson(value); }, frame);
+    std::string bytes(lengthBytes, '\0');
+    Json::to_msgpack(json, bytes);
+    const auto length = bytes.size() - lengthBytes;
+    for (std::size_t i = 0; i < lengthBytes; ++i)
+        bytes[i] = static_cast<char>((length >> (8 * (lengthBytes - 1 - i))) & 0xFF);
+    return bytes;
+}
+
+std::optional<Frame> FrameReader::next(Error& reason)
+{
+    const auto available = std::string_view(buffer_).substr(consumed_);
+    if (available.size() < lengthBytes)
+        return std::nullopt;
+    std::size_t length = 0;
+    for (const char byte : available.substr(0, lengthBytes))
+        length = (length << 8) | static_cast<unsigned char>(byte);
+    if (length > maxFrameBytes_) {
+        reason = { ErrorKind::MalformedMessage,
+            "frame of " + std::to_string(length) + " bytes exceeds the limit of "
+                + std::to_string(maxFrameBytes_),
+            "check that all VMs run the same version" };
+        return std::nullopt;
+    }
+    if (available.size() < lengthBytes + length)
+        return std::nullopt;
+    std::optional<Frame> frame;
+    try {
+        frame = parseFrame(Json::from_msgpack(available.substr(lengthBytes, length)));
+    } catch (const std::exception& error) {
+        reason = { ErrorKind::MalformedMessage, error.what(), "check that all VMs run the same version" };
+        return std::nullopt;
+    }
+    consumed_ += lengthBytes + length;
+    if (consumed_ == buffer_.size() || consumed_ >= compactAtBytes) {
+        buffer_.erase(0, consumed_);
+        consumed_ = 0;
+    }
+    return frame;
+}
+
+} // namespace banyancroft::handover
--- /dev/null
+++ b/libs/handover/tests/test_frames.cpp
@@ -0,0 +1,88 @@
+#include "handover/frames.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace banyancroft;
+using namespace banyancroft::handover;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<Frame> allFrames()
+{
+    http::Response response;
+    response.status = 503;
+    response.fields = { { "Retry-After", "0.2" }, { "X", "" } };
+    response.body = std::string("\0\xff body", 7);
+    Status status { true, 1500ms, 0.25 };
+    return { Offer { 7, 12, "GET / HTTP/1.1\r\n\r\n" }, Acceptance { 7, 13 },
+        Decline { 7, DeclineReason::OlderConfiguration, 11 }, Begin { 7, 12ms, 2ms, true },
+        Answer { 7, response }, Cancel { 7 }, status, Status {}, StatusQuery {} };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(framesSurviveAnySplitOfTheirBytes)
+{
+    std::string bytes;
+    for (const auto& frame : allFrames())
+        bytes.append(encode(frame));
+    for (std::size_t step = 1; step < 9; ++step) {
+        FrameReader reader(1024);
+        std::vector<Frame> read;
+        Error reason;
+        for (std::size_t at = 0; at < bytes.size(); at += step) {
+            reader.append(std::string_view(bytes).substr(at, step));
+            while (auto frame = reader.next(reason))
+                read.push_back(std::move(*frame));
+        }
+        BOOST_TEST(!reason);
+        BOOST_REQUIRE(read.size() == allFrames().size());
+        for (std::size_t i = 0; i < read.size(); ++i)
+            BOOST_TEST(encode(read[i]) == encode(allFrames()[i]));
+    }
+    FrameReader reader(1024);
+    reader.append(encode(allFrames()[4]));
+    Error reason;
+    const auto answer = std::get<Answer>(*reader.next(reason));
+    BOOST_TEST(answer.response.status == 503U);
+    BOOST_TEST(answer.response.fields.at(0).second == "0.2");
+    BOOST_TEST(answer.response.body.size() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(framesAboveTheLimitAndOtherBytesAreErrors)
+{
+    Error reason;
+    FrameReader small(10);
+    // Already the length is rejected, so that no more than the limit is ever held.
+    small.append(encode(Offer { 1, 1, std::string(100, 'x') }).substr(0, 4));
+    BOOST_TEST(!small.next(reason));
+    BOOST_TEST((reason.kind == ErrorKind::MalformedMessage));
+
+    FrameReader http(1024);
+    reason = {};
+    http.append("HTTP/1.1 200 OK\r\n\r\n");
+    BOOST_TEST(!http.next(reason));
+    BOOST_TEST((reason.kind == ErrorKind::MalformedMessage));
+}
+
+// Any byte of a frame may be wrong; the reader must report an error or a frame, and never throw.
+BOOST_AUTO_TEST_CASE(damagedFramesNeverThrow)
+{
+    std::mt19937 random(20261204);
+    for (const auto& frame : allFrames()) {
+        const auto bytes = encode(frame);
+        for (int round = 0; round < 2000; ++round) {
+            auto damaged = bytes;
+            for (int changes = 0; changes < 1 + round % 3; ++changes)
+                damaged[4 + random() % (damaged.size() - 4)] = static_cast<char>(random());
+            FrameReader reader(4096);
+            reader.append(damaged);
+            Error reason;
+            const auto read = reader.next(reason);
+            BOOST_REQUIRE((read || reason));
+        }
+    }
+}
--- a/libs/upstreams/src/cold_share.cpp
+++ b/libs/upstreams/src/cold_share.cpp
@@ -9,7 +9,9 @@
 double coldShare(
     const UpstreamId& upstream, double limitPerSecond, const std::set<VmId>& vms, const VmId& self)
 {
-    const double evenShare = limitPerSecond / static_cast<double>(std::max<std::size_t>(1, vms.size()));
+    if (!vms.contains(self))
+        return 0;
+    const double evenShare = limitPerSecond / static_cast<double>(vms.size());
     if (evenShare >= 1)
         return evenShare;
     const auto own = rendezvousWeight(self, upstream.view());
