--- /dev/null
+++ b/libs/gateway/tests/test_hostile_peers.cpp
@@ -0,0 +1,257 @@
+#include "endless_server.h"
+#include "gateway/event_loop.h"
+#include "response_memory.h"
+#include "test_routes.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <sys/resource.h>
+
+using namespace banyancroft;
+using namespace banyancroft::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct EndlessCase {
+    std::string name;
+    std::string beginning;
+    std::string block;
+};
+
+const std::string okHead = "HTTP/1.1 200 OK\r\nSignature: s\r\n";
+
+std::vector<EndlessCase> endlessCases()
+{
+    return {
+        { "header fields", okHead, "X-More: " + std::string(1000, 'x') + "\r\n" },
+        { "one header line", okHead + "X: ", std::string(1000, 'x') },
+        { "status line", "HTTP/1.1 200 ", std::string(1000, 'x') },
+        { "no HTTP", "", std::string(1000, '\x01') },
+        { "body with a length", okHead + "Content-Length: 99999999999\r\n\r\n", std::string(16000, 'x') },
+        { "body without a length", okHead + "\r\n", std::string(16000, 'x') },
+        { "chunks", okHead + "Transfer-Encoding: chunked\r\n\r\n",
+            "400\r\n" + std::string(1024, 'x') + "\r\n" },
+        { "chunk extension", okHead + "Transfer-Encoding: chunked\r\n\r\n1;x=", std::string(1000, 'x') },
+        { "chunk size", okHead + "Transfer-Encoding: chunked\r\n\r\n", "0000000000" },
+        { "trailer", okHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+            "X-T: " + std::string(1000, 'x') + "\r\n" },
+        { "other answers", "", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 5\r\n\r\nother" },
+    };
+}
+
+/** Registers a server that is not a FakeReplica as a replica. */
+void registerReplica(
+    GatewayFixture& fixture, const std::string& service, const std::string& name, std::uint16_t port)
+{
+    upstreams::UpstreamRecord record;
+    record.id = UpstreamId(name);
+    record.service = ServiceId(service);
+    record.address = "127.0.0.1";
+    record.port = port;
+    record.zone = fixture.settings.zone;
+    record.slots = 3;
+    fixture.records["replica/" + name] = record;
+    fixture.store.set("replica/" + name, "");
+}
+
+} // namespace
+
+// A replica in trouble sends bytes that are no answer, without end. Its request must be served by another
+// replica in time, its connection be closed at a limit, and nothing of it be kept.
+BOOST_AUTO_TEST_CASE(endlessAnswersEndAtALimitAndRequestIsServedElsewhere)
+{
+    /** Limit on a response, and what the sockets' buffers hold beyond it. */
+    constexpr std::size_t maxBytes = std::size_t { 24 } * 1024 * 1024;
+    for (const auto& endless : endlessCases()) {
+        BOOST_TEST_CONTEXT(endless.name)
+        {
+            GatewayFixture fixture;
+            EndlessServer server(fixture.ioContext, endless.beginning, endless.block, 0ms);
+            registerReplica(fixture, "ledger", "r1", server.port());
+            fixture.replica("ledger", "r2", serves("data"));
+            fixture.configure(configurationOf({ singleRoute(true) }));
+            const auto served = fixture.runCaller<int>([&] {
+                fixture.waitUntilReady();
+                int count = 0;
+                for (int i = 0; i < 6; ++i) {
+                    const auto response
+                        = Caller(fixture.settings.callers.port)
+                              .call(GatewayFixture::request("/lookup/1", "id-" + std::to_string(i), 3000));
+                    count += response.status == 200 && response.body == "data";
+                }
+                return count;
+            });
+            BOOST_TEST(served == 6);
+            // Replicas are chosen with some randomness, so the endless one may not have been asked.
+            if (server.requests() == 0)
+                continue;
+            fixture.runCaller<int>([&] {
+                // Longer than the deadline of the requests, at which the last connections are closed.
+                std::this_thread::sleep_for(3500ms);
+                return 0;
+            });
+            BOOST_TEST(server.closedByPeer() == server.requests());
+            BOOST_TEST(server.bytesWritten() < maxBytes * static_cast<std::size_t>(server.requests()));
+        }
+    }
+}
+
+// The same, a byte at a time: the connection lives until the deadline of its request, and the request is
+// served elsewhere.
+BOOST_AUTO_TEST_CASE(slowEndlessAnswerDoesNotDelayRequest)
+{
+    GatewayFixture fixture;
+    EndlessServer server(fixture.ioContext, okHead + "X: ", "x", 5ms);
+    registerReplica(fixture, "ledger", "r1", server.port());
+    fixture.replica("ledger", "r2", serves("data"));
+    fixture.configure(configurationOf({ singleRoute(true) }));
+    for (int i = 0; i < 4; ++i) {
+        const auto response
+            = fixture.callWhenReady(GatewayFixture::request("/lookup/1", "id-" + std::to_string(i), 800));
+        BOOST_TEST(response.status == 200U);
+    }
+    fixture.runCaller<int>([&] {
+        std::this_thread::sleep_for(1200ms);
+        return 0;
+    });
+    BOOST_TEST(server.closedByPeer() == server.requests());
+}
+
+BOOST_AUTO_TEST_CASE(endlessAnswerOfOnlyReplicaFailsWithoutClaim)
+{
+    GatewayFixture fixture;
+    EndlessServer server(fixture.ioContext, okHead + "\r\n", std::string(16000, 'x'), 0ms);
+    registerReplica(fixture, "ledger", "r1", server.port());
+    fixture.configure(configurationOf({ singleRoute(false) }));
+    const auto response = fixture.callWhenReady(GatewayFixture::request("/credit/1", "id", 2000));
+    BOOST_TEST((response.status == 502U || response.status == 504U));
+    BOOST_TEST(server.requests() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(responsesTogetherStayWithinTheMemory)
+{
+    ResponseMemory memory(1024 * 1024);
+    std::size_t held = 0;
+    while (memory.add(held, 4096))
+        held += 4096;
+    BOOST_TEST(held <= 1024U * 1024);
+    // Small responses are still received.
+    BOOST_TEST(memory.add(0, 4096));
+    BOOST_TEST(!memory.add(256 * 1024, 4096));
+    memory.release(memory.total());
+    BOOST_TEST(memory.add(256 * 1024, 4096));
+}
+
+// Callers that send without end: the connection is closed at a limit, with an answer where one can be given.
+BOOST_AUTO_TEST_CASE(endlessRequestsEndAtALimit)
+{
+    const std::string head = "POST /lookup/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: id\r\n";
+    const std::vector<EndlessCase> cases {
+        { "header fields", head, "X-More: " + std::string(1000, 'x') + "\r\n" },
+        { "request line", "GET /", std::string(1000, 'x') },
+        { "no HTTP", "", std::string(1000, '\x01') },
+        { "body with a length", head + "Content-Length: 99999999999\r\n\r\n", std::string(16000, 'x') },
+        { "chunks", head + "Transfer-Encoding: chunked\r\n\r\n",
+            "400\r\n" + std::string(1024, 'x') + "\r\n" },
+        { "chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n1;x=", std::string(1000, 'x') },
+        { "chunk size", head + "Transfer-Encoding: chunked\r\n\r\n", "0000000000" },
+    };
+    GatewayFixture fixture;
+    auto& replica = fixture.replica("ledger", "r1", serves("data"));
+    fixture.configure(configurationOf({ singleRoute(true) }));
+    fixture.runCaller<int>([&] {
+        fixture.waitUntilReady();
+        return 0;
+    });
+    for (const auto& endless : cases) {
+        BOOST_TEST_CONTEXT(endless.name)
+        {
+            constexpr std::size_t maxBytes = std::size_t { 16 } * 1024 * 1024;
+            const auto sent = fixture.runCaller<std::size_t>([&] {
+                Caller caller(fixture.settings.callers.port);
+                std::size_t bytes = 0;
+                try {
+                    caller.write(endless.beginning);
+                    while (bytes < maxBytes) {
+                        caller.write(endless.block);
+                        bytes += endless.block.size();
+                    }
+                } catch (const boost::system::system_error&) {
+                    // The gateway has closed the connection.
+                }
+                return bytes;
+            });
+            BOOST_TEST(sent < maxBytes);
+        }
+    }
+    BOOST_TEST(replica.receivedRequests() == 0);
+    BOOST_TEST(fixture.callWhenReady(GatewayFixture::request("/lookup/1", "id")).status == 200U);
+}
+
+// Another VM answers the question for changes without end: the view stays as it is, and the store is asked.
+BOOST_AUTO_TEST_CASE(endlessAnswerOfPeerDoesNotKeepVmFromItsView)
+{
+    for (const auto& endless : endlessCases()) {
+        GatewayFixture fixture;
+        EndlessServer peer(fixture.ioContext, endless.beginning, endless.block, 0ms);
+        fixture.settings.relay = { "127.0.0.1", fixture.freePort() };
+        fixture.settings.seeds = { { "127.0.0.2", peer.port() } };
+        fixture.replica("ledger", "r1", serves("data"));
+        fixture.configure(configurationOf({ singleRoute(true) }));
+        BOOST_TEST(fixture.callWhenReady(GatewayFixture::request("/lookup/1", "id")).status == 200U);
+    }
+}
+
+// An unexpected error of a handler ends that handler, not the process.
+BOOST_AUTO_TEST_CASE(unexpectedErrorsDoNotEndTheProcess)
+{
+    GatewayFixture fixture;
+    fixture.dialect.parseLoad = [](std::string_view text) -> std::optional<upstreams::ReportedLoad> {
+        if (text == "bad")
+            throw std::runtime_error("unexpected");
+        return std::nullopt;
+    };
+    const auto decode = fixture.layout.decode;
+    fixture.layout.decode = [decode](const store::KeyValue& entry, Error& reason) {
+        if (entry.key == "bad")
+            throw std::runtime_error("unexpected");
+        return decode(entry, reason);
+    };
+    // Sorted before the other keys, which still have to be applied.
+    fixture.store.set("bad", "");
+    bool bad = true;
+    fixture.replica("ledger", "r1", [&](const http::RequestHead& head, const std::string&) {
+        const std::string load = bad ? "Load: bad\r\n" : "";
+        return FakeResponse { "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(*head.fields.find("Request-Id"))
+            + "\r\nSignature: s\r\n" + load + "Content-Length: 4\r\n\r\ndata" };
+    });
+    fixture.configure(configurationOf({ singleRoute(true) }));
+    const auto status = fixture.callWhenReady(GatewayFixture::request("/lookup/1", "id-1", 300)).status;
+    BOOST_TEST((status == 502U || status == 504U));
+    BOOST_TEST(fixture.handlerErrors >= 1);
+    bad = false;
+    BOOST_TEST(fixture.callWhenReady(GatewayFixture::request("/lookup/1", "id-2")).status == 200U);
+}
+
+// The process runs out of descriptors: it must neither spin nor stop accepting for good.
+BOOST_AUTO_TEST_CASE(lackOfDescriptorsEndsNeitherProcessNorService)
+{
+    GatewayFixture fixture;
+    fixture.replica("ledger", "r1", serves("data"));
+    fixture.configure(configurationOf({ singleRoute(true) }));
+    BOOST_TEST(fixture.callWhenReady(GatewayFixture::request("/lookup/1", "id-0")).status == 200U);
+
+    Caller waiting(fixture.settings.callers.port);
+    waiting.write(GatewayFixture::request("/lookup/1", "id-1"));
+    rlimit before {};
+    ::getrlimit(RLIMIT_NOFILE, &before);
+    // All descriptors below the limit are in use already, or are the standard streams.
+    const rlimit none { 3, before.rlim_max };
+    ::setrlimit(RLIMIT_NOFILE, &none);
+    fixture.ioContext.restart();
+    const auto handlers = fixture.ioContext.run_for(500ms);
+    ::setrlimit(RLIMIT_NOFILE, &before);
+    BOOST_TEST(handlers < 1000U);
+    BOOST_TEST(fixture.runCaller<CallerResponse>([&] { return waiting.read(); }).status == 200U);
+}
--- a/libs/http/include/http/message_reader.h
+++ b/libs/http/include/http/message_reader.h
@@ -11,6 +11,7 @@
 
 /** Maximum sizes of a message that a reader accepts. */
 struct ReadLimits {
+    /** Also the limit on bytes that are part of neither header nor body, such as a chunk extension. */
     std::size_t headerBytes = 16 * 1024;
     std::size_t bodyBytes = 1024 * 1024;
 };
@@ -77,6 +78,9 @@
 
 private:
     class Impl;
+
+    ReadState parse(std::string_view bytes, std::size_t& consumed);
+
     std::unique_ptr<Impl> impl_;
 };
 
--- a/libs/http/src/message_reader.cpp
+++ b/libs/http/src/message_reader.cpp
@@ -140,6 +140,16 @@
 ReadState MessageReader::read(std::string_view bytes, std::size_t& consumed)
 {
     consumed = 0;
+    const auto state = parse(bytes, consumed);
+    // The parser limits header and body, but not what it waits for otherwise, such as the end of a chunk
+    // extension.
+    const bool tooLong
+        = state == ReadState::Incomplete && bytes.size() - consumed > impl_->limits_.headerBytes;
+    return tooLong ? ReadState::HeaderTooLong : state;
+}
+
+ReadState MessageReader::parse(std::string_view bytes, std::size_t& consumed)
+{
     impl_->started_ |= !bytes.empty();
     return impl_->withParser([&](auto& parser) {
         // put() returns between header and body and between chunks, so it is called while it makes progress.
