Close the listener before a planned stop ends, distrust answers without id, and act on no stale share after a stall

Found while looking for what operators of similar systems saw; each has a test that fails on the code before. - Planned stop: the listener stayed open until the process ended, so a connection accepted in the last moment was cut. Once the balancer has noticed, the accept queue is taken over and the socket closed; the process ends only 100 ms after that. The check "no pending request, so exit" of test_decisions was the fault itself and is replaced by stricter ones. - Second copy of an answer without request id on a connection in use again: the next caller got it. On a connection whose replica returns ids, a response without one now ends as malformed. Without ids at all it cannot be told apart. - Stall: a process that was suspended used its share of a cold replica's rate, which others may have taken over; it now sends nothing to cold replicas for 2 s, within which its view is refreshed. - RetryBudget::setLimit with another window renumbered what was counted: repeats were forgotten or counted for too long.

Ruled out: retry slack after a stall.

--- a/libs/dispatch/include/dispatch/retry_budget.h
+++ b/libs/dispatch/include/dispatch/retry_budget.h
@@ -31,7 +31,7 @@
     RetryBudget(const RetryLimit& limit, TimePoint startedAt);
 
     /** Replaces the limit; the counts are kept. */
-    void setLimit(const RetryLimit& limit) { limit_ = limit; }
+    void setLimit(const RetryLimit& limit, TimePoint now);
     /** Counts a request for the service, whether or not it is sent. */
     void deposit(TimePoint now);
     /**
@@ -54,6 +54,7 @@
     Interval& currentInterval(TimePoint now);
     double allowed(TimePoint now, unsigned vms) const;
     unsigned spent(TimePoint now) const;
+    Duration intervalLength() const;
     long intervalNumber(TimePoint now) const;
 
     RetryLimit limit_;
--- a/libs/dispatch/src/retry_budget.cpp
+++ b/libs/dispatch/src/retry_budget.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/retry_budget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace banyancroft::dispatch {
 
@@ -22,9 +23,28 @@
 {
 }
 
-long RetryBudget::intervalNumber(TimePoint now) const
+Duration RetryBudget::intervalLength() const
 {
-    return (now - startedAt_) / std::max<Duration>(limit_.window / intervalsPerWindow, Duration(1));
+    return std::max<Duration>(limit_.window / intervalsPerWindow, Duration(1));
+}
+
+long RetryBudget::intervalNumber(TimePoint now) const { return (now - startedAt_) / intervalLength(); }
+
+void RetryBudget::setLimit(const RetryLimit& limit, TimePoint now)
+{
+    const auto oldLength = intervalLength();
+    limit_ = limit;
+    const auto counted = std::exchange(intervals_, {});
+    // Interval numbers depend on the window. The end of an interval keeps its counts in the new window for
+    // longer.
+    for (const auto& interval : counted) {
+        const auto end = std::min(startedAt_ + oldLength * (interval.number + 1) - Duration(1), now);
+        const auto number = intervalNumber(end);
+        if (intervals_.empty() || intervals_.back().number < number)
+            intervals_.push_back({ number, 0, 0 });
+        intervals_.back().requests += interval.requests;
+        intervals_.back().repeats += interval.repeats;
+    }
 }
 
 RetryBudget::Interval& RetryBudget::currentInterval(TimePoint now)
--- a/libs/dispatch/tests/test_retry_budget.cpp
+++ b/libs/dispatch/tests/test_retry_budget.cpp
@@ -96,6 +96,21 @@
     BOOST_TEST(budget.tryWithdraw(start + 10ms, 8, 0));
 }
 
+// A reload that changes the window must neither forget repeats nor count requests of long ago.
+BOOST_AUTO_TEST_CASE(changedWindowKeepsRecentCounts)
+{
+    for (const Duration window : { Duration(2s), Duration(5s), Duration(20s), Duration(60s) }) {
+        RetryBudget budget(limit, start);
+        const auto now = start + 100s;
+        while (budget.tryWithdraw(now, 1, 0)) { }
+        auto changed = limit;
+        changed.window = window;
+        budget.setLimit(changed, now);
+        BOOST_TEST(!budget.tryWithdraw(now + 10ms, 1, 0));
+        BOOST_TEST(budget.tryWithdraw(now + 2 * window, 1, 0));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(optionalRepeatsLeaveBudgetForUrgentOnes)
 {
     RetryBudget budget(limit, start);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -461,7 +461,7 @@
         }
         if (!settings)
             return;
-        traffic_.applySettings(*settings);
+        traffic_.applySettings(*settings, BootClock::now());
         settings_.stopGrace = settings->stopGrace;
         log(LogLevel::Info, "gateway", "settings reloaded",
             { { "retry_ratio", std::to_string(settings->retries.ratio) },
@@ -488,14 +488,24 @@
         const auto now = BootClock::now();
         const auto pendingRequests
             = callerListener_.busyConnectionCount() + handoverServer_.pendingRequests();
-        if (shutdownPhase(now - stopRequestedAt_, settings_.stopGrace, pendingRequests)
-            == ShutdownPhase::Exit) {
+        const auto notAcceptingFor
+            = callerListener_.isListening() ? std::nullopt : std::optional(now - stoppedAcceptingAt_);
+        const auto phase
+            = shutdownPhase(now - stopRequestedAt_, settings_.stopGrace, pendingRequests, notAcceptingFor);
+        if (phase == ShutdownPhase::Exit) {
             log(LogLevel::Info, "gateway", "stopped",
                 { { "busy", std::to_string(pendingRequests) },
                     { "connections", std::to_string(callerListener_.connectionCount()) } });
             telemetry::flushLog();
             return ioContext_.stop();
         }
+        if (phase == ShutdownPhase::Drain && callerListener_.isListening()) {
+            callerListener_.stopAccepting();
+            stoppedAcceptingAt_ = now;
+            log(LogLevel::Info, "gateway", "not accepting connections any more",
+                { { "busy", std::to_string(pendingRequests) },
+                    { "connections", std::to_string(callerListener_.connectionCount()) } });
+        }
         runAfter(shutdownTimer_, shutdownCheckPeriod, [this] { continueShutdown(); });
     }
 
@@ -548,6 +558,7 @@
     boost::asio::steady_timer shutdownTimer_;
     TimePoint startedAt_ {};
     TimePoint stopRequestedAt_ {};
+    TimePoint stoppedAcceptingAt_ {};
     TimePoint nextReload_ {};
     bool hasListing_ = false;
     bool stopping_ = false;
--- a/libs/gateway/src/http_listener.cpp
+++ b/libs/gateway/src/http_listener.cpp
@@ -85,32 +85,46 @@
         if (failure == boost::asio::error::operation_aborted)
             return;
         if (!failure) {
-            CallerConnection::Hooks hooks;
-            hooks.request = handler_;
-            hooks.closed = [this](CallerConnection& closed) {
-                connections_.erase(closed.shared_from_this());
-                accept();
-            };
-            hooks.isStopping = [this] { return stopping_; };
-            auto connection
-                = std::make_shared<CallerConnection>(std::move(socket), limits_, std::move(hooks));
-            connections_.insert(connection);
-            connection->start(BootClock::now());
+            addConnection(std::move(socket));
             accept();
         }
         // After a failure, expire() accepts again: running out of descriptors must not become a busy loop.
     });
 }
 
+void HttpListener::addConnection(tcp::socket socket)
+{
+    CallerConnection::Hooks hooks;
+    hooks.request = handler_;
+    hooks.closed = [this](CallerConnection& closed) {
+        connections_.erase(closed.shared_from_this());
+        accept();
+    };
+    hooks.isStopping = [this] { return stopping_; };
+    auto connection = std::make_shared<CallerConnection>(std::move(socket), limits_, std::move(hooks));
+    connections_.insert(connection);
+    connection->start(BootClock::now());
+}
+
 void HttpListener::stopAccepting()
 {
-    error_code ignored;
-    acceptor_.close(ignored);
+    error_code failure;
+    if (acceptingEnabled_ && acceptor_.is_open())
+        acceptor_.non_blocking(true, failure);
+    // Closing the socket resets the connections that are still in its queue.
+    while (acceptingEnabled_ && acceptor_.is_open() && !failure && connections_.size() < maxConnections_) {
+        tcp::socket socket(acceptor_.get_executor());
+        acceptor_.accept(socket, failure);
+        if (!failure)
+            addConnection(std::move(socket));
+    }
+    acceptor_.close(failure);
 }
 
 void HttpListener::closeAll()
 {
-    stopAccepting();
+    error_code ignored;
+    acceptor_.close(ignored);
     const auto open = connections_;
     for (const auto& connection : open)
         connection->close();
--- a/libs/gateway/src/http_listener.h
+++ b/libs/gateway/src/http_listener.h
@@ -34,7 +34,8 @@
     void setLimits(const http::ReadLimits& limits, const CallerTimeouts& timeouts);
     /** Closes each connection after its next response. */
     void disableKeepAlive() { stopping_ = true; }
-    /** Closes the listening socket; open connections stay open. */
+    /** Takes over the connections that wait in the kernel's accept queue and closes the listening socket.
+     * Open connections stay open. */
     void stopAccepting();
     void closeAll();
     /** Ends connections whose request or idle timeout has passed, and accepts again after a failure; call
@@ -45,8 +46,11 @@
     /** Number of connections with a request that is partly received or not yet answered. */
     std::size_t busyConnectionCount() const;
 
+    bool isListening() const { return acceptor_.is_open(); }
+
 private:
     void accept();
+    void addConnection(boost::asio::ip::tcp::socket socket);
 
     boost::asio::ip::tcp::acceptor acceptor_;
     const std::size_t maxConnections_;
--- a/libs/gateway/src/readiness.h
+++ b/libs/gateway/src/readiness.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 
 #include <cstddef>
+#include <optional>
 
 namespace banyancroft::gateway {
 
@@ -27,7 +28,7 @@
 enum class ShutdownPhase {
     /** Keep accepting connections: the load balancer has not detected the shutdown yet. */
     KeepAccepting,
-    /** Complete the requests that were read. */
+    /** Accept no more connections and complete the requests that were read. */
     Drain,
     /** Exit the process. */
     Exit,
@@ -37,8 +38,11 @@
  * Current phase of a graceful shutdown.
  * @param sinceStop time since the stop signal
  * @param grace maximum duration of the shutdown
- * @param pendingRequests requests that were read and not yet answered
+ * @param pendingRequests requests that were read, also in part, and not yet answered
+ * @param notAcceptingFor time since the listening socket was closed; empty while it is open. Requests on the
+ * last accepted connections may still be on their way.
  */
-ShutdownPhase shutdownPhase(Duration sinceStop, Duration grace, std::size_t pendingRequests);
+ShutdownPhase shutdownPhase(
+    Duration sinceStop, Duration grace, std::size_t pendingRequests, std::optional<Duration> notAcceptingFor);
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t responseMemoryDivisor = 4;
 /** A tick that is later than this shows that the process was stalled. */
 constexpr Duration maxTickDelay = std::chrono::milliseconds(350);
+/** After a stall, other VMs may have taken over this VM's share of the cold rates: time to learn of it. */
+constexpr Duration coldPauseAfterStall = std::chrono::seconds(2);
 
 std::string_view eventMessage(upstreams::RegistryEvent event)
 {
@@ -119,14 +121,14 @@
     return budgets_.emplace(service, dispatch::RetryBudget(settings_.retries, startedAt_)).first->second;
 }
 
-void TrafficManager::applySettings(const Settings& settings)
+void TrafficManager::applySettings(const Settings& settings, TimePoint now)
 {
     settings_.retries = settings.retries;
     settings_.coldOvershoot = settings.coldOvershoot;
     settings_.coldSlack = settings.coldSlack;
     settings_.callerDelay = settings.callerDelay;
     for (auto& [service, budget] : budgets_)
-        budget.setLimit(settings.retries);
+        budget.setLimit(settings.retries, now);
 }
 
 double TrafficManager::remainingBudgetShare(const ServiceId& service, TimePoint now)
@@ -176,7 +178,8 @@
         return connectionPool.connectDelay(now);
     };
     hooks.maySend = [&](const upstreams::Upstream& upstream) {
-        return !upstream.isCold(now) || coldLimiter(upstream).maySend(coldRate(upstream, routes), now);
+        return !upstream.isCold(now)
+            || (now >= coldSendsFrom_ && coldLimiter(upstream).maySend(coldRate(upstream, routes), now));
     };
     hooks.random = [this] { return uniformRandom(); };
     upstreams::PlacementRequest request;
@@ -251,8 +254,13 @@
 
 void TrafficManager::updateReach(TimePoint now)
 {
-    if (now - std::exchange(lastTickAt_, now) >= maxTickDelay)
+    const auto previousTick = std::exchange(lastTickAt_, now);
+    if (previousTick != TimePoint {} && now - previousTick >= maxTickDelay) {
         reach_.restart(now);
+        coldSendsFrom_ = now + coldPauseAfterStall;
+        log(LogLevel::Warn, "gateway", "process was stalled",
+            { { "stalled_ms", std::to_string(toMillis(now - previousTick)) } });
+    }
     if (reach_.areOtherZonesSilent(now) && !isOwnZoneSufficient(now))
         reach_.setCutOff(now);
 }
--- a/libs/gateway/src/traffic_manager.h
+++ b/libs/gateway/src/traffic_manager.h
@@ -81,7 +81,7 @@
     const Settings& settings() const { return settings_; }
     TrafficMetrics& metrics() { return metrics_; }
     /** Applies changed limits and delays; changed addresses take effect only after a restart. */
-    void applySettings(const Settings& settings);
+    void applySettings(const Settings& settings, TimePoint now);
     RequestLog& requestLog() { return requestLog_; }
     boost::asio::io_context& ioContext() { return ioContext_; }
 
@@ -176,6 +176,8 @@
     std::set<VmId> dispatchers_;
     ConfigVersion newestVersionSeen_;
     TimePoint lastTickAt_ {};
+    /** Nothing is sent to cold replicas before this time. */
+    TimePoint coldSendsFrom_ {};
 };
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/upstream_connection.cpp
+++ b/libs/gateway/src/upstream_connection.cpp
@@ -123,6 +123,9 @@
         if (state != http::ReadState::Complete)
             return closeWith(ExchangeOutcome::Malformed);
         const auto responseId = reader_.response().fields.find(requestIdField_);
+        if (!responseId && returnsRequestId_)
+            return closeWith(ExchangeOutcome::Malformed);
+        returnsRequestId_ = responseId.has_value();
         if (responseId && *responseId != exchange_->requestId) {
             // A duplicate response to an earlier request; the response to the current one follows.
             reader_.begin(exchange_->withoutBody);
--- a/libs/gateway/src/upstream_connection.h
+++ b/libs/gateway/src/upstream_connection.h
@@ -123,6 +123,9 @@
     TimePoint connectDeadline_ {};
     TimePoint idleUntil_ = TimePoint::max();
     bool hasResponded_ = false;
+    /** The replica has returned a request ID on this connection, so a response without one is not to be
+     * trusted. */
+    bool returnsRequestId_ = false;
     bool reset_ = false;
     bool open_ = false;
     bool closed_ = false;
--- a/libs/gateway/tests/test_decisions.cpp
+++ b/libs/gateway/tests/test_decisions.cpp
@@ -132,11 +132,15 @@
 // Guards against refusing connections before the load balancer has detected the shutdown.
 BOOST_AUTO_TEST_CASE(stoppingVmAcceptsUntilBalancerDetectsShutdownThenDrains)
 {
-    BOOST_TEST((shutdownPhase(100ms, 6s, 0) == ShutdownPhase::KeepAccepting));
-    BOOST_TEST((shutdownPhase(2s, 6s, 0) == ShutdownPhase::KeepAccepting));
-    BOOST_TEST((shutdownPhase(3s, 6s, 2) == ShutdownPhase::Drain));
-    BOOST_TEST((shutdownPhase(3s, 6s, 0) == ShutdownPhase::Exit));
-    BOOST_TEST((shutdownPhase(5500ms, 6s, 2) == ShutdownPhase::Exit));
+    BOOST_TEST((shutdownPhase(100ms, 6s, 0, {}) == ShutdownPhase::KeepAccepting));
+    BOOST_TEST((shutdownPhase(2s, 6s, 0, {}) == ShutdownPhase::KeepAccepting));
+    BOOST_TEST((shutdownPhase(3s, 6s, 2, {}) == ShutdownPhase::Drain));
+    // A connection that was just accepted may still bring a request.
+    BOOST_TEST((shutdownPhase(3s, 6s, 0, {}) == ShutdownPhase::Drain));
+    BOOST_TEST((shutdownPhase(3s, 6s, 0, 20ms) == ShutdownPhase::Drain));
+    BOOST_TEST((shutdownPhase(3s, 6s, 0, 100ms) == ShutdownPhase::Exit));
+    BOOST_TEST((shutdownPhase(3s, 6s, 1, 100ms) == ShutdownPhase::Drain));
+    BOOST_TEST((shutdownPhase(5500ms, 6s, 2, 2s) == ShutdownPhase::Exit));
 }
 
 BOOST_AUTO_TEST_CASE(vmFailingRequestsWithoutResponsesFromOtherZonesIsCutOff)
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -151,6 +151,30 @@
     }
 }
 
+// The duplicate lacks the request ID that identifies it. The next caller must not get it, and a refusal
+// without ID must not make the request run again elsewhere.
+BOOST_AUTO_TEST_CASE(duplicateResponseWithoutIdIsNotMatchedToNextRequest)
+{
+    for (const std::string duplicate : { "HTTP/1.1 200 OK\r\nSignature: old\r\nContent-Length: 3\r\n\r\nold",
+             "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" }) {
+        GatewayFixture fixture;
+        int requests = 0;
+        fixture.replica("ledger", "r1", [&](const http::RequestHead& head, const std::string&) {
+            const auto own = GatewayFixture::signedResponse(head, "sig", "own");
+            return FakeResponse { ++requests > 1 ? duplicate + own : own };
+        });
+        auto& other = fixture.replica("ledger", "r2", serves("other"));
+        fixture.configure(configurationOf({ singleRoute(false) }));
+        for (int i = 0; i < 12; ++i) {
+            const auto response
+                = fixture.callWhenReady(GatewayFixture::request("/credit/1", "id-" + std::to_string(i)));
+            BOOST_TEST((response.status == 200U || response.status == 502U));
+            BOOST_TEST(response.body != "old");
+        }
+        BOOST_TEST(requests + other.receivedRequests() == 12);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(truncatedResponseIsReportedAsBadGateway)
 {
     GatewayFixture fixture;
@@ -298,6 +322,38 @@
     BOOST_TEST(replica.receivedRequests() == 3);
 }
 
+// A VM that stops under load: from some moment on it takes no connections, and answers what it has taken.
+BOOST_AUTO_TEST_CASE(stoppingVmRefusesConnectionsBeforeItExits)
+{
+    GatewayFixture fixture;
+    fixture.settings.stopGrace = 6s;
+    fixture.replica("ledger", "r1", [](const http::RequestHead& head, const std::string&) {
+        return FakeResponse {
+            head.target == "/lookup/slow" ? "" : GatewayFixture::signedResponse(head, "sig", "data")
+        };
+    });
+    fixture.configure(configurationOf({ singleRoute(true) }));
+    const auto response = fixture.runCaller<CallerResponse>([&] {
+        fixture.waitUntilReady();
+        Caller kept(fixture.settings.callers.port);
+        Caller slow(fixture.settings.callers.port);
+        slow.write(GatewayFixture::request("/lookup/slow", "id-1", 20000));
+        ::kill(::getpid(), SIGTERM);
+        ::kill(::getpid(), SIGTERM);
+        try {
+            while (true) {
+                Caller probe(fixture.settings.callers.port);
+                std::this_thread::sleep_for(2ms);
+            }
+        } catch (const boost::system::system_error&) {
+            // The listening socket is closed.
+        }
+        return kept.call(GatewayFixture::request("/lookup/1", "id-2"));
+    });
+    BOOST_TEST(response.status == 200U);
+    BOOST_TEST(response.fields.at("Connection") == "close");
+}
+
 // SIGHUP must apply changed limits and must not interrupt requests, also when the new settings are invalid.
 BOOST_AUTO_TEST_CASE(requestsAreServedAcrossSettingsReloads)
 {
--- a/libs/gateway/tests/test_handover.cpp
+++ b/libs/gateway/tests/test_handover.cpp
@@ -193,6 +193,24 @@
     BOOST_TEST(fleet.replicaOfLedger->receivedRequests() == 0);
 }
 
+// A VM that was suspended believes in a share of a cold replica's rate that others may use by now.
+BOOST_AUTO_TEST_CASE(stalledVmSendsNothingToColdReplicasAtFirst)
+{
+    GatewayFleet fleet;
+    fleet.replica("ledger", "r1", serves("data"));
+    fleet.records["replica/r1"].coldFor = 60s;
+    auto configuration = configurationOf({ singleRoute(true) });
+    configuration.services.front().coldRequestsPerSecond = 50;
+    fleet.configure(configuration);
+    auto& vm = fleet.addVm("large", largeVm, true);
+    fleet.runFor(1500ms);
+    BOOST_TEST(fleet.call(vm, GatewayFixture::request("/lookup/1", "id-1")).status == 200U);
+    std::this_thread::sleep_for(500ms);
+    const auto resumedAt = BootClock::now();
+    BOOST_TEST(fleet.call(vm, GatewayFixture::request("/lookup/1", "id-2")).status == 200U);
+    BOOST_TEST((BootClock::now() - resumedAt >= 1500ms));
+}
+
 // Bytes that are not frames, in small and in large amounts, close the connection and harm no other.
 BOOST_AUTO_TEST_CASE(bytesThatAreNoFramesCloseTheirConnection)
 {
