--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -1,8 +1,6 @@
 #include "gateway/gateway.h"
 
-#include "handover/dispatch_role.h"
-#include "handover_runner.h"
-#include "handover_server.h"
+#include "dispatch_tier.h"
 #include "http_listener.h"
 #include "local_responses.h"
 #include "membership.h"
@@ -45,22 +43,11 @@
 constexpr std::size_t maxProbeConnections = 32;
 /** Maximum connections of other VMs that poll for changes. */
 constexpr std::size_t maxRelayConnections = 200;
-/** Fractions of the maximum propagation delay: the polling interval of the VM that reads the store, that of
- * the VMs that poll it, and the view age at which they poll the store. The rest allows for one call that gets
- * no response. */
-constexpr double storePollFraction = 0.3;
-constexpr double peerPollFraction = 0.1;
-constexpr double staleFraction = 0.65;
-/** Time from the registration of a dispatcher until all VMs see it, as a fraction of the maximum propagation
- * delay: one poll of the store and one of its reader. */
-constexpr double visibilityFraction = storePollFraction + peerPollFraction;
 /** Times in which a VM that has just started asks only its peers for a first view, see SyncIntervals. */
 constexpr Duration peersFirstAfterStart = std::chrono::milliseconds(300);
 constexpr Duration respondingPeersFirstAfterStart = std::chrono::milliseconds(1500);
 /** A VM with this many cores is expected to dispatch, so others depend on it from the start. */
 constexpr double expectedDispatcherProcessors = 0.25;
-/** Utilization above which a dispatcher declines offers. */
-constexpr double overloadedUtilization = 0.85;
 /** Callers may use 1 / callerSocketDivisor of the sockets; the rest is for replicas and the store. */
 constexpr std::size_t callerSocketDivisor = 2;
 
@@ -90,22 +77,15 @@
                   { settings_.zone, settings_.relay, settings_.handover, settings_.processors }),
               std::max<Duration>(settings_.minLeaseTtl, registrationLease))
         , callerListener_(ioContext, settings_.maxSockets / callerSocketDivisor,
-              [this](const CallerRequest& request) { serveCaller(request, BootClock::now()); })
+              [this](
+                  const CallerRequest& request) { tier_.serve(incomingRequest(request), BootClock::now()); })
         , readinessListener_(ioContext, maxProbeConnections,
               [this](const CallerRequest& request) { serveReadiness(request); })
         , metricsListener_(
               ioContext, maxProbeConnections, [this](const CallerRequest& request) { serveMetrics(request); })
         , relayListener_(
               ioContext, maxRelayConnections, [this](const CallerRequest& request) { serveRelay(request); })
-        , role_(
-              { settings_.minDispatchersPerZone, scaled(settings_.maxPropagationDelay, visibilityFraction) },
-              traffic_.uniformRandom())
-        , dispatchers_(ioContext)
-        , handoverServer_(traffic_, handoverServerHooks())
-        , handoverContext_ { traffic_, dispatchers_,
-            [this](const VmId& dispatcher) {
-                sync_.refresh(members_.relayAddress(dispatcher), BootClock::now());
-            } }
+        , tier_(traffic_, members_, registration_, tierHooks())
         , signals_(ioContext, SIGTERM, SIGINT, SIGHUP)
         , tickTimer_(ioContext)
         , shutdownTimer_(ioContext)
@@ -117,9 +97,9 @@
         metrics_.gauge("banyancroft_gateway_dispatchers", "Live VMs that dispatch and share limits",
             [this] { return static_cast<double>(traffic_.dispatchers().size()); });
         metrics_.gauge("banyancroft_gateway_is_dispatcher", "1 while this VM dispatches",
-            [this] { return isDispatching() ? 1.0 : 0.0; });
+            [this] { return tier_.isDispatching() ? 1.0 : 0.0; });
         metrics_.gauge("banyancroft_gateway_utilization", "Fraction of the processors that sends use",
-            [this] { return handoverServer_.utilization(); });
+            [this] { return tier_.utilization(); });
         metrics_.gauge("banyancroft_gateway_ready", "1 while the readiness probe answers 200",
             [this] { return isReadyNow(BootClock::now()) ? 1.0 : 0.0; });
         metrics_.gauge("banyancroft_view_age_seconds", "Time since the view was the newest of the store",
@@ -132,7 +112,7 @@
             || !readinessListener_.listen(settings_.readiness, reason)
             || !metricsListener_.listen(settings_.metrics, reason)
             || (settings_.relay.port != 0 && !relayListener_.listen(settings_.relay, reason))
-            || (usesTier() && !handoverServer_.listen(settings_.handover, reason)))
+            || !tier_.start(reason))
             return false;
         log(LogLevel::Info, "gateway", "started",
             { { "version", BANYANCROFT_VERSION }, { "zone", settings_.zone.str() },
@@ -142,10 +122,7 @@
         metricsListener_.startAccepting();
         if (settings_.relay.port != 0)
             relayListener_.startAccepting();
-        members_.setDispatching(!usesTier());
-        updateDispatchers();
-        if (!usesTier())
-            registration_.start();
+        tier_.update(startedAt_);
         waitForSignal();
         tick();
         return true;
@@ -162,7 +139,7 @@
                 return applyListing(update.content.entries);
             for (const auto& entry : update.content.entries)
                 applyChange(entry);
-            updateDispatchers();
+            tier_.update(BootClock::now());
         };
         hooks.storeRecovered = [this](TimePoint at) { traffic_.registry().storeRecovered(at); };
         hooks.isReader = [this] { return members_.storeReader(settings_.zone) == settings_.vm; };
@@ -178,7 +155,18 @@
         const bool isSeed = std::any_of(seeds.begin(), seeds.end(),
             [this](const ListenAddress& seed) { return seed.address == settings_.relay.address; });
         const bool expectsToDispatch = !hasListing_ && settings_.processors >= expectedDispatcherProcessors;
-        return isDispatching() || isSeed || seeds.empty() || expectsToDispatch;
+        return tier_.isDispatching() || isSeed || seeds.empty() || expectsToDispatch;
+    }
+
+    DispatchTier::Hooks tierHooks()
+    {
+        DispatchTier::Hooks hooks;
+        hooks.hasListing = [this] { return hasListing_; };
+        hooks.isStopping = [this] { return stopping_; };
+        hooks.fetchConfiguration = [this](const std::optional<VmId>& from) {
+            sync_.refresh(from ? members_.relayAddress(*from) : std::nullopt, BootClock::now());
+        };
+        return hooks;
     }
 
     std::optional<ListenAddress> peerAddress(PeerChoice choice)
@@ -254,8 +242,7 @@
         setEvacuatedZones(std::move(evacuatedZones));
         members_.replaceAll(vms, now);
         hasListing_ = true;
-        updateRole(now);
-        updateDispatchers();
+        tier_.update(now);
         callerListener_.startAccepting();
     }
 
@@ -312,85 +299,8 @@
                 { limits.headerBytes, limits.bodyBytes }, { limits.headerTimeout, limits.idleTimeout });
     }
 
-    /** True if VMs of the availability zone hand requests to each other. */
-    bool usesTier() const { return settings_.handover.port != 0; }
-    bool isDispatching() const { return !usesTier() || role_.isDispatcher(); }
-
-    /** Takes or leaves the role of a dispatcher as the zone needs it. */
-    void updateRole(TimePoint now)
-    {
-        if (!usesTier() || !hasListing_ || stopping_)
-            return;
-        const auto others = members_.otherDispatchers(settings_.zone);
-        handover::RoleInputs inputs;
-        inputs.processors = settings_.processors;
-        inputs.others = others.size();
-        inputs.comparable = static_cast<std::size_t>(std::count_if(others.begin(), others.end(),
-            [this](const Dispatcher& other) { return other.processors > settings_.processors / 2; }));
-        inputs.ahead = members_.dispatchersAhead(settings_.zone, settings_.processors);
-        inputs.utilization
-            = role_.isDispatcher() ? handoverServer_.utilization() : dispatchers_.utilization();
-        inputs.wasDispatcher = members_.isRegistered(settings_.vm);
-        const bool before = role_.isDispatcher();
-        if (role_.update(inputs, now) == before)
-            return;
-        log(LogLevel::Info, "handover", before ? "no longer a dispatcher" : "now a dispatcher",
-            { { "others", std::to_string(inputs.others) },
-                { "comparable", std::to_string(inputs.comparable) },
-                { "ahead", std::to_string(inputs.ahead) },
-                { "utilization", std::to_string(inputs.utilization) },
-                { "was_dispatcher", inputs.wasDispatcher ? "yes" : "no" },
-                { "view_age_ms", std::to_string(toMillis(sync_.age(now))) } });
-        members_.setDispatching(!before);
-        before ? registration_.stop() : registration_.start();
-    }
-
-    void updateDispatchers()
-    {
-        const auto now = BootClock::now();
-        auto vms = members_.liveVms(now);
-        if (usesTier())
-            dispatchers_.setDispatchers(
-                isDispatching() ? std::vector<Dispatcher> {} : members_.otherDispatchers(settings_.zone),
-                now);
-        if (vms == traffic_.dispatchers())
-            return;
-        log(LogLevel::Info, "membership", "number of live dispatchers changed",
-            { { "before", std::to_string(traffic_.dispatchers().size()) },
-                { "now", std::to_string(vms.size()) } });
-        traffic_.setDispatchers(std::move(vms));
-    }
-
-    HandoverServer::Hooks handoverServerHooks()
-    {
-        HandoverServer::Hooks hooks;
-        hooks.whyDeclined = [this]() -> std::optional<handover::DeclineReason> {
-            if (stopping_)
-                return handover::DeclineReason::Stopping;
-            if (!isDispatching() || !hasListing_)
-                return handover::DeclineReason::NotDispatching;
-            if (handoverServer_.utilization() > overloadedUtilization)
-                return handover::DeclineReason::Overloaded;
-            return std::nullopt;
-        };
-        hooks.configurationOutdated = [this] { sync_.refresh(std::nullopt, BootClock::now()); };
-        return hooks;
-    }
-
-    void serveCaller(const CallerRequest& request, TimePoint now)
-    {
-        traffic_.metrics().requests.add();
-        const auto incoming = incomingRequest(request);
-        if (!isDispatching() && dispatchers_.hasUsable())
-            return HandoverRunner::run(handoverContext_, incoming, now);
-        RequestRunner::run(traffic_, incoming, now);
-    }
-
     /** True while this VM serves callers worse than those of other availability zones. */
-    bool isCutOff(TimePoint now)
-    {
-        return traffic_.reach().isCutOff(now) || (!isDispatching() && dispatchers_.cutOffSince());
-    }
+    bool isCutOff(TimePoint now) { return traffic_.reach().isCutOff(now) || tier_.isZoneCutOff(); }
 
     bool isReadyNow(TimePoint now)
     {
@@ -486,8 +396,7 @@
     void continueShutdown()
     {
         const auto now = BootClock::now();
-        const auto pendingRequests
-            = callerListener_.busyConnectionCount() + handoverServer_.pendingRequests();
+        const auto pendingRequests = callerListener_.busyConnectionCount() + tier_.pendingRequests();
         const auto notAcceptingFor
             = callerListener_.isListening() ? std::nullopt : std::optional(now - stoppedAcceptingAt_);
         const auto phase
@@ -523,12 +432,7 @@
         readinessListener_.expire(now);
         metricsListener_.expire(now);
         relayListener_.expire(now);
-        updateRole(now);
-        updateDispatchers();
-        if (usesTier()) {
-            dispatchers_.tick(now);
-            handoverServer_.tick(now);
-        }
+        tier_.tick(now);
         if (now >= nextReload_)
             reload();
         telemetry::flushLog();
@@ -549,10 +453,7 @@
     HttpListener readinessListener_;
     HttpListener metricsListener_;
     HttpListener relayListener_;
-    handover::DispatchRole role_;
-    DispatcherPool dispatchers_;
-    HandoverServer handoverServer_;
-    HandoverContext handoverContext_;
+    DispatchTier tier_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer tickTimer_;
     boost::asio::steady_timer shutdownTimer_;
--- a/libs/gateway/src/sync_sources.h
+++ b/libs/gateway/src/sync_sources.h
@@ -21,6 +21,16 @@
     Duration respondingPeersFirstAfterStart {};
 };
 
+/** Fractions of the maximum propagation delay: the polling interval of the VM that reads the store, that of
+ * the VMs that poll it, and the view age at which they no longer rely on it. The rest allows for one call
+ * that gets no response. */
+constexpr double storePollFraction = 0.3;
+constexpr double peerPollFraction = 0.1;
+constexpr double staleFraction = 0.65;
+/** Time until all VMs see a change, as a fraction of the maximum propagation delay: one poll of the store and
+ * one of its reader. */
+constexpr double visibilityFraction = storePollFraction + peerPollFraction;
+
 /** Inputs of the choice of a source. */
 struct SyncInputs {
     bool hasView = false;
