Let a dispatcher return from a planned stop before smaller VMs take its place

More dispatchers means smaller shares. Change: the wait is 2.5 times as long while the zone has other dispatchers. Ruled out: keeping the registration during a planned stop, since VMs would offer requests to a process that ends.

--- a/libs/handover/src/dispatch_role.cpp
+++ b/libs/handover/src/dispatch_role.cpp
@@ -18,6 +18,8 @@
 /** Random part of the wait in visibility delays, for each visibility delay that the VM waits for larger ones.
  */
 constexpr double spreadPerSizeDelay = 2;
+/** Factor of the wait while the zone has other dispatchers. */
+constexpr double patienceWithOthers = 2.5;
 /** Wait before leaving the tier, in visibility delays; longer, so that a restarted VM finds its place taken
  * rarely. */
 constexpr double leaveDelays = 3;
@@ -42,7 +44,10 @@
         return scaled(rules_.visibilityDelay, leaveDelays * (1 + draw_));
     const double sizeDelays
         = std::clamp(referenceProcessors / std::max(inputs.processors, 0.01) - 1, 0.0, 2 * maxSizeDelays) / 2;
-    return scaled(rules_.visibilityDelay, sizeDelays * (1 + spreadPerSizeDelay * draw_));
+    // With other dispatchers left, a VM that stops as planned has time to return before a smaller one takes
+    // its place.
+    const double patience = inputs.others > 0 ? patienceWithOthers : 1;
+    return scaled(rules_.visibilityDelay, patience * sizeDelays * (1 + spreadPerSizeDelay * draw_));
 }
 
 bool DispatchRole::update(const RoleInputs& inputs, TimePoint now)
