--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -44,7 +44,7 @@
 /** Maximum connections of other VMs that poll for changes. */
 constexpr std::size_t maxRelayConnections = 200;
 /** Times in which a VM that has just started asks only its peers for a first view, see SyncIntervals. */
-constexpr Duration peersFirstAfterStart = std::chrono::milliseconds(300);
+constexpr Duration peersFirstAfterStart = std::chrono::milliseconds(100);
 constexpr Duration respondingPeersFirstAfterStart = std::chrono::milliseconds(1500);
 /** A VM with this many cores is expected to dispatch, so others depend on it from the start. */
 constexpr double expectedDispatcherProcessors = 0.25;
