--- a/libs/handover/include/handover/handover_plan.h
+++ b/libs/handover/include/handover/handover_plan.h
@@ -68,7 +68,6 @@
     void heard(TimePoint heardAt) { lastHeardAt_ = heardAt; }
 
     bool hasBegun() const { return state_ == State::Begun; }
-    bool isOffered() const { return state_ == State::Offered; }
     unsigned offers() const { return offers_; }
     TimePoint offeredAt() const { return offeredAt_; }
 
