--- a/review/build.sh
+++ b/review/build.sh
@@ -2,6 +2,7 @@
 # Builds the stand-ins of the review's scripts into target/review/. Needs the packages of the deploy file only.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+rm -rf target/review
 mkdir -p target/review
 flags=(-std=c++20 -O1 -g -Wall -Wextra -pthread)
 objects=()
