Send a request to the same replica again only on another connection

Cause: a replica that had refused got the same request again on the connection of the refusal. A late second copy of the refusal carries the request's own ID, so it was taken for the response to the second send.

Evidence: the case's record shows the copy of the request's own refusal on its connection, then a run, then the next send and a second run. Ruled out: repeats without a refusal (none without the copies) and sends by two VMs.

An ID identifies a response only if the connection has not carried it before, so a resend skips such connections. If no other one is idle, an idle one is closed to keep within the replica's connection limit.

--- a/libs/gateway/src/attempts.cpp
+++ b/libs/gateway/src/attempts.cpp
@@ -64,6 +64,12 @@
     return *lastEnd + resendBackoff * (1U << resends);
 }
 
+bool hasCarriedRequest(const UpstreamConnection& connection, std::span<const AttemptPointer> attempts)
+{
+    return std::any_of(attempts.begin(), attempts.end(),
+        [&connection](const auto& attempt) { return attempt->usedConnection.lock().get() == &connection; });
+}
+
 std::string describeOpenAttempts(std::span<const AttemptPointer> open, TimePoint now)
 {
     /** Keeps the log line short. */
--- a/libs/gateway/src/attempts.h
+++ b/libs/gateway/src/attempts.h
@@ -18,7 +18,10 @@
 struct Attempt {
     std::size_t shard = 0;
     upstreams::UpstreamPointer upstream;
+    /** The connection on which a response is awaited. */
     std::shared_ptr<UpstreamConnection> connection;
+    /** The connection on which the request was sent, also after its response. */
+    std::weak_ptr<UpstreamConnection> usedConnection;
     TimePoint startedAt {};
     TimePoint sentAt {};
     TimePoint endedAt {};
@@ -59,6 +62,14 @@
 std::optional<TimePoint> nextResendTime(
     std::span<const AttemptPointer> attempts, std::size_t shard, bool idempotent);
 
+/**
+ * Returns true if one of the attempts was sent on the connection.
+ *
+ * A replica may send a second copy of a response where the next one is expected. Only the request ID tells
+ * them apart, so a request must not be sent twice on one connection.
+ */
+bool hasCarriedRequest(const UpstreamConnection& connection, std::span<const AttemptPointer> attempts);
+
 /** Formats the replicas that have not responded, with the age of each attempt, for the log. */
 std::string describeOpenAttempts(std::span<const AttemptPointer> open, TimePoint now);
 
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -249,7 +249,10 @@
     attempt->toSameUpstream
         = std::find(tried.begin(), tried.end(), placement.upstream->number) != tried.end();
     attempts_.push_back(attempt);
-    if (const auto connection = traffic_.pool(placement.upstream).takeIdle(now))
+    const auto mayUse = [&](const UpstreamConnection& connection) {
+        return !attempt->toSameUpstream || !hasCarriedRequest(connection, attempts_);
+    };
+    if (const auto connection = traffic_.pool(placement.upstream).takeIdle(now, mayUse))
         return sendOnConnection(attempt, connection, now);
     connect(attempt, now);
 }
@@ -302,6 +305,7 @@
     attempt->sent = true;
     attempt->sentAt = now;
     attempt->connection = connection;
+    attempt->usedConnection = connection;
     plan_->sent(attempt->shard, attempt->openedConnection, now);
     if (attempt->toSameUpstream)
         plan_->sentToSameUpstream(attempt->shard);
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -60,16 +60,28 @@
     return std::clamp<Duration>(handshakeTime_ * settleTimeFactor, minSettleTime, maxSettleTime);
 }
 
-std::shared_ptr<UpstreamConnection> UpstreamPool::takeIdle(TimePoint now)
+std::shared_ptr<UpstreamConnection> UpstreamPool::takeIdle(
+    TimePoint now, const std::function<bool(const UpstreamConnection&)>& mayUse)
 {
-    while (!idle_.empty()) {
-        auto connection = idle_.back();
+    std::vector<std::shared_ptr<UpstreamConnection>> unfit;
+    std::shared_ptr<UpstreamConnection> taken;
+    while (!idle_.empty() && !taken) {
+        auto connection = std::move(idle_.back());
         idle_.pop_back();
-        if (connection->isOpen() && connection->isFresh(now))
-            return connection;
-        connection->abandon();
+        if (!connection->isOpen() || !connection->isFresh(now)) {
+            connection->abandon();
+        } else if (mayUse(*connection)) {
+            taken = std::move(connection);
+        } else {
+            unfit.push_back(std::move(connection));
+        }
+    }
+    if (!taken && !unfit.empty()) {
+        unfit.back()->abandon();
+        unfit.pop_back();
     }
-    return nullptr;
+    idle_.insert(idle_.end(), unfit.rbegin(), unfit.rend());
+    return taken;
 }
 
 void UpstreamPool::connect(TimePoint now, ConnectHandler handler)
--- a/libs/gateway/src/upstream_pool.h
+++ b/libs/gateway/src/upstream_pool.h
@@ -43,8 +43,13 @@
      * because the limit is reached or the replica has just reset a connection.
      */
     std::optional<Duration> connectDelay(TimePoint now) const;
-    /** Removes and returns an idle connection, or nullptr if there is none. */
-    std::shared_ptr<UpstreamConnection> takeIdle(TimePoint now);
+    /**
+     * Removes and returns an idle connection, or nullptr if there is none that may be used. In that case an
+     * idle connection that may not be used is closed, so that another one can be opened within the limit.
+     * @param mayUse returns false for a connection that must not carry the request
+     */
+    std::shared_ptr<UpstreamConnection> takeIdle(
+        TimePoint now, const std::function<bool(const UpstreamConnection&)>& mayUse);
     /**
      * Opens a connection.
      * @param handler called once, with nullptr on failure; passes a connection that it does not use to
--- a/libs/gateway/tests/fake_replica.h
+++ b/libs/gateway/tests/fake_replica.h
@@ -40,17 +40,22 @@
     int receivedRequests() const { return receivedRequests_; }
     /** Number of connections that the gateway closed while a request was unanswered. */
     int abandonedRequests() const { return abandonedRequests_; }
+    /** Number, from 1, of the connection of the request that the script responds to. */
+    int currentConnection() const { return currentConnection_; }
+    int openConnections() const { return openConnections_; }
     /** Deadline header fields of the received requests. */
     const std::vector<std::string>& deadlines() const { return deadlines_; }
 
 private:
     struct Connection {
-        explicit Connection(boost::asio::ip::tcp::socket accepted)
+        Connection(boost::asio::ip::tcp::socket accepted, int connectionNumber)
             : socket(std::move(accepted))
+            , number(connectionNumber)
         {
         }
 
         boost::asio::ip::tcp::socket socket;
+        const int number;
         http::MessageReader reader { http::MessageReader::Kind::Request, {} };
         std::array<char, 4096> chunk {};
         std::string readBuffer;
@@ -62,7 +67,8 @@
         acceptor_.async_accept([this](const auto& failure, boost::asio::ip::tcp::socket socket) {
             if (failure)
                 return;
-            read(std::make_shared<Connection>(std::move(socket)));
+            ++openConnections_;
+            read(std::make_shared<Connection>(std::move(socket), ++acceptedConnections_));
             accept();
         });
     }
@@ -72,6 +78,7 @@
         connection->socket.async_read_some(boost::asio::buffer(connection->chunk),
             [this, connection](const auto& failure, std::size_t count) {
                 if (failure) {
+                    --openConnections_;
                     abandonedRequests_ += connection->unanswered;
                     return;
                 }
@@ -81,14 +88,18 @@
                 connection->readBuffer.erase(0, consumed);
                 if (state == http::ReadState::Complete)
                     respond(connection);
-                if (connection->socket.is_open())
+                if (connection->socket.is_open()) {
                     read(connection);
+                } else {
+                    --openConnections_;
+                }
             });
     }
 
     void respond(const std::shared_ptr<Connection>& connection)
     {
         ++receivedRequests_;
+        currentConnection_ = connection->number;
         const auto& head = connection->reader.request();
         deadlines_.emplace_back(head.fields.find("Deadline").value_or(""));
         const auto response = script_(head, connection->reader.body());
@@ -105,6 +116,9 @@
     Script script_;
     int receivedRequests_ = 0;
     int abandonedRequests_ = 0;
+    int acceptedConnections_ = 0;
+    int openConnections_ = 0;
+    int currentConnection_ = 0;
     std::vector<std::string> deadlines_;
 };
 
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -175,6 +175,38 @@
     }
 }
 
+// Guards against a second run: a copy of a refusal is taken for the response to the same request, sent again.
+BOOST_AUTO_TEST_CASE(copyOfRefusalIsNotMatchedToResentRequest)
+{
+    for (const bool refusedTwice : { false, true }) {
+        GatewayFixture fixture;
+        int arrivals = 0;
+        int runs = 0;
+        int mostConnections = 0;
+        /** The refusal that is still to be sent again, by connection. */
+        std::map<int, std::string> copies;
+        FakeReplica* replica = nullptr;
+        replica = &fixture.replica("ledger", "r1", [&](const http::RequestHead& head, const std::string&) {
+            const std::string refusal = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRequest-Id: "
+                + std::string(*head.fields.find("Request-Id")) + "\r\nContent-Length: 0\r\n\r\n";
+            mostConnections = std::max(mostConnections, replica->openConnections());
+            const auto copy = std::exchange(copies[replica->currentConnection()], refusal);
+            const bool refuses = ++arrivals <= (refusedTwice ? 2 : 1);
+            runs += refuses ? 0 : 1;
+            return FakeResponse { copy
+                + (refuses ? refusal : GatewayFixture::signedResponse(head, "sig", "data")) };
+        });
+        auto configuration = configurationOf({ singleRoute(false) });
+        configuration.services.front().maxConnections = 1;
+        fixture.configure(configuration);
+        const auto response = fixture.callWhenReady(GatewayFixture::request("/credit/1", "id"));
+        BOOST_TEST(response.status == 200U);
+        BOOST_TEST(runs == 1);
+        // The connection that is not used again makes room for the other one.
+        BOOST_TEST(mostConnections == 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(truncatedResponseIsReportedAsBadGateway)
 {
     GatewayFixture fixture;
