Take no requests in a planned stop that cannot be completed before the exit

Cause: only the listening socket was closed when callers had been directed elsewhere. Requests on open connections were taken until the process exited at nine tenths of the grace time, whatever was in progress.

PlannedStop closes idle connections 0.1 s after the listening socket, refuses requests that become complete later, and answers 502 to what is in progress at the end. Pipelined requests that were read are answered, and an idle connection on which bytes wait is not closed.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -96,7 +96,9 @@
         return;
     awaitingResponse_ = false;
     const bool malformed = !reader_.isHeaderDone();
-    closeAfterWrite_ = close || malformed || hooks_.isStopping() || !reader_.keepsAlive();
+    // Pipelined requests that were already read are still answered.
+    const bool stopping = hooks_.isStopping() && readBuffer_.empty();
+    closeAfterWrite_ = close || malformed || stopping || !reader_.keepsAlive();
     writeBuffer_ = http::serialise(response, closeAfterWrite_, reader_.request().method == "HEAD");
     bytesWritten_ = 0;
     write();
@@ -135,6 +137,12 @@
     read();
 }
 
+bool CallerConnection::hasUnreadBytes() const
+{
+    error_code ignored;
+    return socket_.available(ignored) > 0;
+}
+
 bool CallerConnection::isOverdue(const CallerTimeouts& timeouts, TimePoint now) const
 {
     if (closed_ || isBusy())
@@ -144,8 +152,12 @@
 
 void CallerConnection::expire()
 {
-    if (!reader_.hasStarted())
-        return close();
+    if (!reader_.hasStarted()) {
+        // After a stall of the process, a request may already have arrived.
+        if (!hasUnreadBytes())
+            close();
+        return;
+    }
     http::Response response;
     response.status = statusRequestTimeout;
     awaitingResponse_ = true;
--- a/libs/gateway/src/caller_connection.h
+++ b/libs/gateway/src/caller_connection.h
@@ -63,6 +63,14 @@
     void expire();
     void close();
 
+    /** True if no part of a request has been read and no response is being written. */
+    bool isIdle() const { return !isBusy() && !reader_.hasStarted() && readBuffer_.empty(); }
+    /** True while a request awaits its response. */
+    bool isAwaitingResponse() const { return awaitingResponse_; }
+    /** True if bytes of the caller wait in the socket. */
+    bool hasUnreadBytes() const;
+    /** The request that awaits its response. */
+    const http::RequestHead& request() const { return reader_.request(); }
     /** True while a complete request is pending or its response is being written. */
     bool isBusy() const { return awaitingResponse_ || !writeBuffer_.empty(); }
     /** True while a request has been received only in part. */
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -4,6 +4,7 @@
 #include "http_listener.h"
 #include "local_responses.h"
 #include "membership.h"
+#include "planned_stop.h"
 #include "readiness.h"
 #include "request_runner.h"
 #include "run_after.h"
@@ -32,8 +33,6 @@
 constexpr Duration tickPeriod = std::chrono::milliseconds(100);
 /** Interval of settings reloads; settings may change without a signal. */
 constexpr Duration reloadPeriod = std::chrono::seconds(5);
-/** Interval at which a shutdown checks whether the process can exit. */
-constexpr Duration shutdownCheckPeriod = std::chrono::milliseconds(20);
 /** Time to live of this VM's registration; long enough to survive short outages of the store. */
 constexpr Duration registrationLease = std::chrono::seconds(5);
 /** Callers' connections are not accepted for up to this time while the first listing of the store, which
@@ -77,8 +76,7 @@
                   { settings_.zone, settings_.relay, settings_.handover, settings_.processors }),
               std::max<Duration>(settings_.minLeaseTtl, registrationLease))
         , callerListener_(ioContext, settings_.maxSockets / callerSocketDivisor,
-              [this](
-                  const CallerRequest& request) { tier_.serve(incomingRequest(request), BootClock::now()); })
+              [this](const CallerRequest& request) { serveCaller(request); })
         , readinessListener_(ioContext, maxProbeConnections,
               [this](const CallerRequest& request) { serveReadiness(request); })
         , metricsListener_(
@@ -86,9 +84,9 @@
         , relayListener_(
               ioContext, maxRelayConnections, [this](const CallerRequest& request) { serveRelay(request); })
         , tier_(traffic_, members_, registration_, tierHooks())
+        , stop_(ioContext, callerListener_, traffic_, stopHooks())
         , signals_(ioContext, SIGTERM, SIGINT, SIGHUP)
         , tickTimer_(ioContext)
-        , shutdownTimer_(ioContext)
     {
         metrics_.gauge("banyancroft_gateway_config_version", "Version of the configuration in force",
             [this] { return static_cast<double>(traffic_.configuration().version().value); });
@@ -162,13 +160,30 @@
     {
         DispatchTier::Hooks hooks;
         hooks.hasListing = [this] { return hasListing_; };
-        hooks.isStopping = [this] { return stopping_; };
+        hooks.isStopping = [this] { return stop_.hasBegun(); };
         hooks.fetchConfiguration = [this](const std::optional<VmId>& from) {
             sync_.refresh(from ? members_.relayAddress(*from) : std::nullopt, BootClock::now());
         };
         return hooks;
     }
 
+    PlannedStop::Hooks stopHooks()
+    {
+        PlannedStop::Hooks hooks;
+        hooks.grace = [this] { return settings_.stopGrace; };
+        hooks.requestsOfOtherVms = [this] { return tier_.pendingRequests(); };
+        hooks.exit = [this] { ioContext_.stop(); };
+        return hooks;
+    }
+
+    void serveCaller(const CallerRequest& request)
+    {
+        const auto now = BootClock::now();
+        if (!stop_.takesRequests())
+            return stop_.refuse(request, now);
+        tier_.serve(incomingRequest(request), now);
+    }
+
     std::optional<ListenAddress> peerAddress(PeerChoice choice)
     {
         if (choice == PeerChoice::Reader)
@@ -307,7 +322,7 @@
         ReadinessInputs inputs;
         inputs.hasConfiguration = traffic_.configuration().current() != nullptr;
         inputs.hasRegistrations = hasListing_;
-        inputs.isStopping = stopping_;
+        inputs.isStopping = stop_.hasBegun();
         inputs.isCutOff = isCutOff(now);
         return isReady(inputs);
     }
@@ -327,7 +342,8 @@
             log(LogLevel::Info, "gateway", ready ? "ready" : "not ready",
                 { { "view_age_ms", std::to_string(toMillis(sync_.age(now))) },
                     { "config", std::to_string(traffic_.configuration().version().value) },
-                    { "cut_off", isCutOff(now) ? "yes" : "no" }, { "stopping", stopping_ ? "yes" : "no" } });
+                    { "cut_off", isCutOff(now) ? "yes" : "no" },
+                    { "stopping", stop_.hasBegun() ? "yes" : "no" } });
         }
         request.connection->respond(response, false);
     }
@@ -381,41 +397,10 @@
 
     void beginShutdown()
     {
-        if (stopping_)
+        if (stop_.hasBegun())
             return;
-        stopping_ = true;
-        stopRequestedAt_ = BootClock::now();
-        log(LogLevel::Info, "gateway", "stopping",
-            { { "connections", std::to_string(callerListener_.connectionCount()) },
-                { "busy", std::to_string(callerListener_.busyConnectionCount()) } });
-        callerListener_.disableKeepAlive();
         registration_.stop();
-        continueShutdown();
-    }
-
-    void continueShutdown()
-    {
-        const auto now = BootClock::now();
-        const auto pendingRequests = callerListener_.busyConnectionCount() + tier_.pendingRequests();
-        const auto notAcceptingFor
-            = callerListener_.isListening() ? std::nullopt : std::optional(now - stoppedAcceptingAt_);
-        const auto phase
-            = shutdownPhase(now - stopRequestedAt_, settings_.stopGrace, pendingRequests, notAcceptingFor);
-        if (phase == ShutdownPhase::Exit) {
-            log(LogLevel::Info, "gateway", "stopped",
-                { { "busy", std::to_string(pendingRequests) },
-                    { "connections", std::to_string(callerListener_.connectionCount()) } });
-            telemetry::flushLog();
-            return ioContext_.stop();
-        }
-        if (phase == ShutdownPhase::Drain && callerListener_.isListening()) {
-            callerListener_.stopAccepting();
-            stoppedAcceptingAt_ = now;
-            log(LogLevel::Info, "gateway", "not accepting connections any more",
-                { { "busy", std::to_string(pendingRequests) },
-                    { "connections", std::to_string(callerListener_.connectionCount()) } });
-        }
-        runAfter(shutdownTimer_, shutdownCheckPeriod, [this] { continueShutdown(); });
+        stop_.begin(BootClock::now());
     }
 
     void tick()
@@ -454,15 +439,12 @@
     HttpListener metricsListener_;
     HttpListener relayListener_;
     DispatchTier tier_;
+    PlannedStop stop_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer tickTimer_;
-    boost::asio::steady_timer shutdownTimer_;
     TimePoint startedAt_ {};
-    TimePoint stopRequestedAt_ {};
-    TimePoint stoppedAcceptingAt_ {};
     TimePoint nextReload_ {};
     bool hasListing_ = false;
-    bool stopping_ = false;
     bool wasReady_ = false;
 };
 
--- a/libs/gateway/src/http_listener.cpp
+++ b/libs/gateway/src/http_listener.cpp
@@ -121,6 +121,25 @@
     acceptor_.close(failure);
 }
 
+void HttpListener::closeIdleConnections()
+{
+    const auto open = connections_;
+    for (const auto& connection : open) {
+        if (connection->isIdle() && !connection->hasUnreadBytes())
+            connection->close();
+    }
+}
+
+void HttpListener::endPendingRequests(
+    const std::function<http::Response(const http::RequestHead&)>& makeResponse)
+{
+    const auto open = connections_;
+    for (const auto& connection : open) {
+        if (connection->isAwaitingResponse())
+            connection->respond(makeResponse(connection->request()), true);
+    }
+}
+
 void HttpListener::closeAll()
 {
     error_code ignored;
--- a/libs/gateway/src/http_listener.h
+++ b/libs/gateway/src/http_listener.h
@@ -37,6 +37,10 @@
     /** Takes over the connections that wait in the kernel's accept queue and closes the listening socket.
      * Open connections stay open. */
     void stopAccepting();
+    /** Closes connections on which no part of a request has arrived. */
+    void closeIdleConnections();
+    /** Answers each request that awaits its response and closes its connection. */
+    void endPendingRequests(const std::function<http::Response(const http::RequestHead&)>& makeResponse);
     void closeAll();
     /** Ends connections whose request or idle timeout has passed, and accepts again after a failure; call
      * about every 100 ms. */
--- a/libs/gateway/src/readiness.cpp
+++ b/libs/gateway/src/readiness.cpp
@@ -27,8 +27,9 @@
         return ShutdownPhase::Exit;
     if (sinceStop < scaled(grace, balancerDetectionFraction))
         return ShutdownPhase::KeepAccepting;
-    const bool settled = notAcceptingFor && *notAcceptingFor >= lastRequestDelay;
-    return settled && pendingRequests == 0 ? ShutdownPhase::Exit : ShutdownPhase::Drain;
+    if (!notAcceptingFor || *notAcceptingFor < lastRequestDelay)
+        return ShutdownPhase::AwaitLastRequests;
+    return pendingRequests == 0 ? ShutdownPhase::Exit : ShutdownPhase::Drain;
 }
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/readiness.h
+++ b/libs/gateway/src/readiness.h
@@ -28,14 +28,20 @@
 enum class ShutdownPhase {
     /** Keep accepting connections: the load balancer has not detected the shutdown yet. */
     KeepAccepting,
-    /** Accept no more connections and complete the requests that were read. */
+    /** Accept no more connections; the requests on the last ones are on their way. */
+    AwaitLastRequests,
+    /** Take no more requests, close idle connections and complete the requests that were taken. */
     Drain,
-    /** Exit the process. */
+    /** Answer the requests that are still in progress and exit. */
     Exit,
 };
 
 /**
  * Current phase of a graceful shutdown.
+ *
+ * Callers keep using open connections, so the VM has to stop taking requests while there is still time to
+ * complete them.
+ *
  * @param sinceStop time since the stop signal
  * @param grace maximum duration of the shutdown
  * @param pendingRequests requests that were read, also in part, and not yet answered
