Defer removals only after an outage of the store that the VM saw itself

Cause: a VM whose own path to the store was cut took this for an outage, and passed the time of recovery on to the VMs that poll it. They deferred removals for 2 s more, counted from the recovery.

Evidence: the calm VM of the case logs no failed call and sees the removals, but removes the replicas 2 s after the reader's recovery. Ruled out: a late view (it asks the store itself) and sends that were begun before.

A VM now defers only if its own calls failed and no VM that it polls reached the store meanwhile. A VM with a working path has no failed call. A later recovery no longer extends a deferral.

--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -4,6 +4,7 @@
 #include "view_codec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace banyancroft::gateway {
 
@@ -20,8 +21,6 @@
 constexpr Duration maxOtherRetryDelay = std::chrono::seconds(2);
 /** A peer responds from memory; one that takes longer is stopped, suspended or cut off. */
 constexpr Duration peerTimeout = std::chrono::milliseconds(300);
-/** Shorter outages of the store do not make registrations lapse. */
-constexpr Duration minOutage = std::chrono::seconds(1);
 /** The store truncates responses by number of changes and by size. A response of at least a fifth of either
  * limit may be truncated and is followed by another request immediately. */
 constexpr std::size_t truncationSuspectChanges = 100;
@@ -54,6 +53,7 @@
     , peerFailures_(
           metrics.counter("banyancroft_peer_failures_total", "Questions to other VMs without an answer"))
     , startedAt_(BootClock::now())
+    , storeReachedAt_(startedAt_)
 {
 }
 
@@ -122,7 +122,7 @@
         log(LogLevel::Info, "store", "listed all keys of the store",
             { { "keys", std::to_string(listing->entries.size()) },
                 { "revision", std::to_string(listing->revision.value) } });
-        handleStoreResponse({ true, std::move(*listing), requestedAt, {} }, {}, now);
+        handleStoreResponse({ true, std::move(*listing), requestedAt }, {}, requestedAt, now);
     });
 }
 
@@ -146,31 +146,29 @@
             changes->revision = std::max(changes->revision, after);
             // A truncated response may omit changes, so the view is not known to match the store.
             const auto currentAt = more ? TimePoint {} : requestedAt;
-            handleStoreResponse({ false, std::move(*changes), currentAt, {} }, after, now);
+            handleStoreResponse({ false, std::move(*changes), currentAt }, after, requestedAt, now);
             if (more)
                 requestFromStore(now);
         });
 }
 
-void StoreSync::handleStoreResponse(ViewUpdate update, store::Revision baseRevision, TimePoint now)
+void StoreSync::handleStoreResponse(
+    const ViewUpdate& update, store::Revision baseRevision, TimePoint requestedAt, TimePoint now)
 {
     lastStoreResponseAt_ = now;
-    if (consecutiveStoreFailures_ > 0) {
-        const auto outage = now - storeFailingSince_;
+    if (consecutiveStoreFailures_ > 0)
         log(LogLevel::Info, "store", "store responds again after failed calls",
-            { { "failing_ms", std::to_string(toMillis(outage)) },
+            { { "failing_ms", std::to_string(toMillis(now - storeFailingSince_)) },
                 { "failures", std::to_string(consecutiveStoreFailures_) },
                 { "revision", std::to_string(update.content.revision.value) } });
-        if (outage >= minOutage)
-            update.storeRecoveredAt = now;
-    }
     consecutiveStoreFailures_ = 0;
-    applyUpdate(update, baseRevision);
+    applyUpdate(update, baseRevision, requestedAt, now);
 }
 
 void StoreSync::handleStoreFailure(const Error& reason, TimePoint requestedAt, TimePoint now)
 {
     storeFailures_.add();
+    lastFailedCallAt_ = requestedAt;
     if (consecutiveStoreFailures_ == 0) {
         storeFailingSince_ = requestedAt;
         log(LogLevel::Warn, "store", "store call failed, will retry",
@@ -202,7 +200,8 @@
             peerRequestPending_ = false;
             if (!response)
                 return handlePeerFailure(peer, failure);
-            lastPeerResponseAt_ = BootClock::now();
+            const auto respondedAt = BootClock::now();
+            lastPeerResponseAt_ = respondedAt;
             if (response->status != statusOk)
                 return handlePeerFailure(peer,
                     { ErrorKind::Unavailable,
@@ -213,7 +212,7 @@
             if (!update)
                 return handlePeerFailure(peer, reason);
             peerFailing_ = false;
-            applyUpdate(*update, after);
+            applyUpdate(*update, after, update->currentAt, respondedAt);
         });
 }
 
@@ -227,13 +226,20 @@
     peerFailing_ = true;
 }
 
-void StoreSync::applyUpdate(const ViewUpdate& update, store::Revision baseRevision)
+void StoreSync::applyUpdate(
+    const ViewUpdate& update, store::Revision baseRevision, TimePoint reachedAt, TimePoint now)
 {
-    const auto recoveredBefore = view_.storeRecoveredAt();
     if (!view_.apply(update, baseRevision))
         return;
-    if (view_.storeRecoveredAt() > recoveredBefore)
-        hooks_.storeRecovered(view_.storeRecoveredAt());
+    const auto reachedBefore = std::exchange(storeReachedAt_, std::max(storeReachedAt_, reachedAt));
+    // Before the update is passed on, since it may hold registrations that lapsed.
+    if (wasStoreUnavailable({ reachedBefore, storeReachedAt_, lastFailedCallAt_ })) {
+        log(LogLevel::Info, "store", "store was unavailable, removals of registrations are deferred",
+            { { "unavailable_ms", std::to_string(toMillis(storeReachedAt_ - reachedBefore)) },
+                { "failed_call_age_ms", std::to_string(toMillis(now - lastFailedCallAt_)) },
+                { "revision", std::to_string(update.content.revision.value) } });
+        hooks_.storeRecovered(now);
+    }
     if (update.isFull || !update.content.entries.empty())
         hooks_.viewUpdated(update);
 }
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -33,8 +33,8 @@
     struct Hooks {
         /** Called when an update that holds entries, or all keys, was applied to the view. */
         std::function<void(const ViewUpdate&)> viewUpdated;
-        /** Called with the time at which the store, as seen by this VM or by the peer that reads it,
-         * recovered from an outage. */
+        /** Called with the present time when the store answers again after an outage, see
+         * wasStoreUnavailable(), before the first update since then is passed on. */
         std::function<void(TimePoint)> storeRecovered;
         /** True when this VM reads the store for its availability zone. */
         std::function<bool()> isReader;
@@ -59,11 +59,14 @@
     void requestFromStore(TimePoint now);
     void listStore(TimePoint requestedAt);
     void pollStore(TimePoint requestedAt, Duration wait);
-    void handleStoreResponse(ViewUpdate update, store::Revision baseRevision, TimePoint now);
+    void handleStoreResponse(
+        const ViewUpdate& update, store::Revision baseRevision, TimePoint requestedAt, TimePoint now);
     void handleStoreFailure(const Error& reason, TimePoint requestedAt, TimePoint now);
     void requestFromPeer(const ListenAddress& peer, TimePoint now);
     void handlePeerFailure(const ListenAddress& peer, const Error& reason);
-    void applyUpdate(const ViewUpdate& update, store::Revision baseRevision);
+    /** @param reachedAt time at which the store is known to have answered to the source of the update */
+    void applyUpdate(
+        const ViewUpdate& update, store::Revision baseRevision, TimePoint reachedAt, TimePoint now);
 
     boost::asio::io_context& ioContext_;
     store::PolledStore& store_;
@@ -86,6 +89,9 @@
     std::optional<TimePoint> lastPeerResponseAt_;
     unsigned consecutiveStoreFailures_ = 0;
     TimePoint storeFailingSince_ {};
+    TimePoint lastFailedCallAt_ {};
+    /** Latest time at which the store is known to have answered, to this VM or to one that it polls. */
+    TimePoint storeReachedAt_;
     bool peerFailing_ = false;
     ListenAddress peerAddress_;
     std::shared_ptr<store::HttpClient> peerClient_;
--- a/libs/gateway/src/store_view.cpp
+++ b/libs/gateway/src/store_view.cpp
@@ -31,7 +31,6 @@
     pruneRemovals();
     revision_ = revision;
     currentAt_ = std::max(currentAt_, update.currentAt);
-    storeRecoveredAt_ = std::max(storeRecoveredAt_, update.storeRecoveredAt);
     return true;
 }
 
@@ -49,7 +48,6 @@
     update.isFull = knownRevision < removalsCompleteAfter_;
     update.content.revision = revision_;
     update.currentAt = currentAt_;
-    update.storeRecoveredAt = storeRecoveredAt_;
     for (const auto& [key, entry] : entries_) {
         if (update.isFull || entry.seenAtRevision > knownRevision)
             update.content.entries.push_back(entry.item);
--- a/libs/gateway/src/store_view.h
+++ b/libs/gateway/src/store_view.h
@@ -17,8 +17,6 @@
     store::Listing content;
     /** Latest time at which the content is known to have matched the store. */
     TimePoint currentAt {};
-    /** Time at which the store last recovered from an outage; TimePoint {} if it never did. */
-    TimePoint storeRecoveredAt {};
 };
 
 /**
@@ -41,7 +39,6 @@
     bool isEmpty() const { return !revision_; }
     store::Revision revision() const { return revision_; }
     TimePoint currentAt() const { return currentAt_; }
-    TimePoint storeRecoveredAt() const { return storeRecoveredAt_; }
 
 private:
     struct Entry {
@@ -59,7 +56,6 @@
     store::Revision removalsCompleteAfter_;
     store::Revision revision_;
     TimePoint currentAt_ {};
-    TimePoint storeRecoveredAt_ {};
 };
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/sync_sources.h
+++ b/libs/gateway/src/sync_sources.h
@@ -78,6 +78,32 @@
     return inputs.isReader && inputs.sinceStoreResponse >= intervals.storePoll;
 }
 
+/** What a VM knows of the store's availability when it learns that the store answers. */
+struct OutageInputs {
+    /** Latest time at which the store was known to answer before, to this VM or to one that it polls. */
+    TimePoint reachedBefore {};
+    /** Latest time at which it is known to answer now. */
+    TimePoint reachedNow {};
+    /** Time of this VM's last call without an answer; TimePoint {} if there was none. */
+    TimePoint lastFailedCallAt {};
+};
+
+/** Shorter outages of the store do not make registrations lapse. */
+constexpr Duration minOutage = std::chrono::seconds(1);
+
+/**
+ * Whether the store was unavailable, so that registrations of live replicas may have lapsed.
+ *
+ * A VM whose calls fail cannot tell an outage of the store from a broken path of its own. It takes failures
+ * for an outage only if no VM that it polls reached the store meanwhile, and it does not take the word of
+ * another VM for it: a VM with a working path has to apply removals in time, whoever else is cut off.
+ */
+inline bool wasStoreUnavailable(const OutageInputs& inputs)
+{
+    return inputs.lastFailedCallAt > inputs.reachedBefore
+        && inputs.reachedNow - inputs.reachedBefore >= minOutage;
+}
+
 /** The peer that a VM polls for changes. */
 enum class PeerChoice {
     None,
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -35,6 +35,8 @@
         return "upstream restarted";
     case upstreams::RegistryEvent::Draining:
         return "upstream is draining";
+    case upstreams::RegistryEvent::RemovalDeferred:
+        return "upstream removal deferred";
     case upstreams::RegistryEvent::Removed:
         return "upstream removed";
     }
--- a/libs/gateway/src/view_codec.cpp
+++ b/libs/gateway/src/view_codec.cpp
@@ -35,8 +35,7 @@
     for (const auto& entry : update.content.entries)
         items.push_back(Json::array({ entry.key, entry.modified.value, entry.value }));
     const Json message { { "full", update.isFull }, { "revision", update.content.revision.value },
-        { "age_us", ageMicros(update.currentAt, now) },
-        { "store_returned_us", ageMicros(update.storeRecoveredAt, now) }, { "items", std::move(items) } };
+        { "age_us", ageMicros(update.currentAt, now) }, { "items", std::move(items) } };
     std::string bytes;
     Json::to_msgpack(message, bytes);
     return bytes;
@@ -50,8 +49,6 @@
         update.isFull = message.at("full").get<bool>();
         update.content.revision = { message.at("revision").get<std::uint64_t>() };
         update.currentAt = timeFromAge(message.at("age_us").get<std::int64_t>(), requestedAt);
-        update.storeRecoveredAt
-            = timeFromAge(message.at("store_returned_us").get<std::int64_t>(), requestedAt);
         for (const auto& item : message.at("items")) {
             store::KeyValue entry;
             item.at(0).get_to(entry.key);
--- a/libs/gateway/tests/test_store_sync.cpp
+++ b/libs/gateway/tests/test_store_sync.cpp
@@ -21,12 +21,12 @@
 
 ViewUpdate full(std::vector<store::KeyValue> items, std::uint64_t revision, TimePoint at = start)
 {
-    return { true, { std::move(items), { revision } }, at, {} };
+    return { true, { std::move(items), { revision } }, at };
 }
 
 ViewUpdate changes(std::vector<store::KeyValue> items, std::uint64_t revision, TimePoint at = start)
 {
-    return { false, { std::move(items), { revision } }, at, {} };
+    return { false, { std::move(items), { revision } }, at };
 }
 
 /** A StoreSync on an in-memory store. The intervals are so long that only immediate requests are sent. */
@@ -126,8 +126,7 @@
 
 BOOST_AUTO_TEST_CASE(updatesAreEncodedWithTheirAge)
 {
-    auto update = changes({ item("a", std::string("\x00\xff", 2), 7), item("b", "", 0) }, 9);
-    update.storeRecoveredAt = start - 1s;
+    const auto update = changes({ item("a", std::string("\x00\xff", 2), 7), item("b", "", 0) }, 9);
     Error reason;
     // The receiver's clock differs: it sent the request at 50 s, and the view was 400 ms old.
     const TimePoint requestedAt { 50s };
@@ -136,10 +135,10 @@
     BOOST_TEST(!read->isFull);
     BOOST_TEST(read->content.revision.value == 9U);
     BOOST_TEST((read->currentAt == requestedAt - 400ms));
-    BOOST_TEST((read->storeRecoveredAt == requestedAt - 1400ms));
     BOOST_TEST(read->content.entries.at(0).value == std::string("\x00\xff", 2));
     BOOST_TEST(read->content.entries.at(1).modified.value == 0U);
-    BOOST_TEST((decodeUpdate(encodeUpdate(changes({}, 9), start), requestedAt, reason)->storeRecoveredAt
+    // A view that was never known to match the store.
+    BOOST_TEST((decodeUpdate(encodeUpdate(changes({}, 9, {}), start), requestedAt, reason)->currentAt
         == TimePoint {}));
 
     const auto bytes = encodeUpdate(update, start);
@@ -257,6 +256,86 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(failedCallsAreAnOutageOnlyIfNobodyReachedTheStore)
+{
+    BOOST_TEST(wasStoreUnavailable({ start, start + 5s, start + 2s }));
+    BOOST_TEST(!wasStoreUnavailable({ start, start + 900ms, start + 500ms }));
+    // Another VM reached the store after this VM's last failed call.
+    BOOST_TEST(!wasStoreUnavailable({ start + 3s, start + 5s, start + 2s }));
+    // Without a failed call, this VM just was not told of changes.
+    BOOST_TEST(!wasStoreUnavailable({ start, start + 5s, {} }));
+}
+
+// Guards against replicas that stay in use after they have left, because the VM that reads the store for the
+// zone was cut off from it and takes that for an outage of the store.
+BOOST_AUTO_TEST_CASE(cutOfAnotherVmDoesNotDeferRemovals)
+{
+    GatewayFixture reader;
+    reader.settings.relay = { "127.0.0.1", reader.freePort() };
+    reader.store.set("some/key", "value");
+    SyncFixture calm;
+    calm.hooks.isReader = [] { return false; };
+    calm.hooks.isSource = [] { return false; };
+    calm.peer = reader.settings.relay;
+    StoreSync sync(calm.ioContext, calm.store, "", { 1h, 10ms, 1h, 1h, 1h }, calm.hooks, calm.metrics);
+    const auto pollUntil = [&](const std::function<bool()>& condition) {
+        return reader.runCaller<bool>([&] {
+            return calm.runUntil([&] {
+                sync.step(BootClock::now());
+                return condition();
+            });
+        });
+    };
+    reader.runCaller<int>([&] {
+        reader.waitUntilServing();
+        return 0;
+    });
+    BOOST_TEST(pollUntil([&] { return !sync.view().isEmpty(); }));
+    reader.store.isDown = true;
+    const auto end = BootClock::now() + 1200ms;
+    BOOST_TEST(pollUntil([&] { return BootClock::now() >= end; }));
+    reader.store.remove("some/key");
+    reader.store.isDown = false;
+    BOOST_TEST(pollUntil([&] { return sync.view().revision().value == reader.store.revision; }));
+    BOOST_TEST(calm.recoveries == 0);
+}
+
+// An outage of the store itself: a VM whose own calls failed learns of its end from the reader of the zone,
+// and must not drop replicas whose registrations lapsed meanwhile.
+BOOST_AUTO_TEST_CASE(outageThatEndsWithUpdateOfPeerDefersRemovals)
+{
+    GatewayFixture reader;
+    reader.settings.relay = { "127.0.0.1", reader.freePort() };
+    reader.store.set("some/key", "value");
+    SyncFixture other;
+    other.store.isDown = true;
+    other.hooks.isReader = [] { return false; };
+    other.peer = reader.settings.relay;
+    StoreSync sync(
+        other.ioContext, other.store, "", { 1h, 10ms, 200ms, 0ms, 0ms }, other.hooks, other.metrics);
+    const auto pollFor = [&](Duration time) {
+        const auto end = BootClock::now() + time;
+        reader.runCaller<bool>([&] {
+            return other.runUntil([&] {
+                sync.step(BootClock::now());
+                return BootClock::now() >= end;
+            });
+        });
+    };
+    reader.runCaller<int>([&] {
+        reader.waitUntilServing();
+        return 0;
+    });
+    pollFor(200ms);
+    const int before = other.recoveries;
+    reader.store.isDown = true;
+    pollFor(1500ms);
+    BOOST_TEST(other.recoveries == before);
+    reader.store.isDown = false;
+    pollFor(1000ms);
+    BOOST_TEST(other.recoveries == before + 1);
+}
+
 // Guards against a VM that starts while the store refuses its calls and responds 503 until the store accepts
 // them again.
 BOOST_AUTO_TEST_CASE(vmRefusedByStoreLearnsFromPeer)
--- a/libs/upstreams/include/upstreams/registry.h
+++ b/libs/upstreams/include/upstreams/registry.h
@@ -42,6 +42,8 @@
     Added,
     Restarted,
     Draining,
+    /** The entry was removed in the grace period after an outage; the replica stays in use until its end. */
+    RemovalDeferred,
     Removed,
 };
 
--- a/libs/upstreams/src/registry.cpp
+++ b/libs/upstreams/src/registry.cpp
@@ -3,6 +3,7 @@
 #include "base/string_map.h"
 
 #include <algorithm>
+#include <map>
 
 namespace banyancroft::upstreams {
 
@@ -45,11 +46,11 @@
     {
         if (!byId_.contains(id.str()))
             return;
-        if (now < graceUntil_) {
-            deferredRemovals_.insert(id.str());
-            return;
-        }
-        removeNow(id);
+        if (now >= graceUntil_)
+            return removeNow(id);
+        // A later recovery does not extend the deferral.
+        if (deferredRemovals_.emplace(id.str(), graceUntil_).second)
+            listener_(RegistryEvent::RemovalDeferred, *byId_.find(id.str())->second);
     }
 
     void applyListing(std::span<const UpstreamRecord> records, TimePoint now)
@@ -70,12 +71,15 @@
 
     void applyDeferredRemovals(TimePoint now)
     {
-        if (now < graceUntil_ || deferredRemovals_.empty())
-            return;
-        const auto removals = std::exchange(deferredRemovals_, {});
-        for (const auto& id : removals) {
+        for (auto removal = deferredRemovals_.begin(); removal != deferredRemovals_.end();) {
+            const auto& [id, due] = *removal;
+            if (now < due) {
+                ++removal;
+                continue;
+            }
             if (byId_.contains(id))
                 removeNow(UpstreamId(id));
+            removal = deferredRemovals_.erase(removal);
         }
     }
 
@@ -91,8 +95,8 @@
     const Listener listener_;
     StringMap<UpstreamPointer> byId_;
     StringMap<std::vector<UpstreamPointer>> byService_;
-    /** Ids of entries that were removed during the grace period. */
-    std::set<std::string> deferredRemovals_;
+    /** Ids of entries that were removed during a grace period, with its end. */
+    std::map<std::string, TimePoint> deferredRemovals_;
     TimePoint graceUntil_ {};
     std::uint64_t lastNumber_ = 0;
 
--- a/libs/upstreams/tests/test_registry.cpp
+++ b/libs/upstreams/tests/test_registry.cpp
@@ -77,6 +77,24 @@
     BOOST_TEST(fixture.registry.upstreams(service).front()->record.id.str() == "r1");
 }
 
+// Repeated outages must not keep a replica in use that has left.
+BOOST_AUTO_TEST_CASE(laterRecoveryDoesNotExtendDeferral)
+{
+    RegistryFixture fixture;
+    fixture.put(record("r1"), start);
+    fixture.put(record("r2"), start);
+    fixture.registry.storeRecovered(start + 20s);
+    fixture.remove("r1", start + 20100ms);
+    BOOST_TEST((fixture.events.back() == RegistryEvent::RemovalDeferred));
+    fixture.registry.storeRecovered(start + 21500ms);
+    fixture.remove("r1", start + 21600ms);
+    fixture.remove("r2", start + 21600ms);
+    fixture.registry.applyDeferredRemovals(start + 22s);
+    BOOST_TEST(fixture.listedCount() == 1U);
+    fixture.registry.applyDeferredRemovals(start + 23500ms);
+    BOOST_TEST(fixture.listedCount() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(listingRemovesReplicasThatItLacks)
 {
     RegistryFixture fixture;
