Limit the nesting of documents that other processes write

Other operators report an entry, very deeply nested, that ended their machines again and again. Here a frame of 4 MB of nested MessagePack arrays ended the process on the address for hand-overs, as would the answer of another VM's relay address. An entry of 1 MB of brackets did not, but took 76 MB and 0.2 s of a core with each listing.

Cause: nlohmann's reader of MessagePack recurses for each level; its reader of JSON builds the document before it finds the error.

Before, deeplyNestedFrameIsAnError ended its test program with an error of the stack, and deeplyNestedUpdateIsAnError hung it.

--- a/libs/gateway/src/view_codec.cpp
+++ b/libs/gateway/src/view_codec.cpp
@@ -1,5 +1,7 @@
 #include "view_codec.h"
 
+#include "json/bounded_parser.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -44,7 +46,7 @@
 std::optional<ViewUpdate> decodeUpdate(std::string_view bytes, TimePoint requestedAt, Error& reason)
 {
     try {
-        const auto message = Json::from_msgpack(bytes);
+        const auto message = json::parseMessagePack(bytes);
         ViewUpdate update;
         update.isFull = message.at("full").get<bool>();
         update.content.revision = { message.at("revision").get<std::uint64_t>() };
--- a/libs/gateway/tests/test_store_sync.cpp
+++ b/libs/gateway/tests/test_store_sync.cpp
@@ -147,6 +147,14 @@
     BOOST_TEST((reason.kind == ErrorKind::MalformedMessage));
 }
 
+// Guards against an answer of another VM's address that ends the process by its nesting.
+BOOST_AUTO_TEST_CASE(deeplyNestedUpdateIsAnError)
+{
+    Error reason;
+    BOOST_TEST(!decodeUpdate(std::string(4 * 1024 * 1024, '\x91'), start, reason));
+    BOOST_TEST((reason.kind == ErrorKind::MalformedMessage));
+}
+
 // Calls to the store are limited, so only readers and VMs with a stale view may poll it.
 BOOST_AUTO_TEST_CASE(readersPollStoreAndOthersPollReaders)
 {
--- a/libs/handover/src/frames.cpp
+++ b/libs/handover/src/frames.cpp
@@ -1,5 +1,7 @@
 #include "handover/frames.h"
 
+#include "json/bounded_parser.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -183,7 +185,7 @@
         return std::nullopt;
     std::optional<Frame> frame;
     try {
-        frame = parseFrame(Json::from_msgpack(available.substr(lengthBytes, length)));
+        frame = parseFrame(json::parseMessagePack(available.substr(lengthBytes, length)));
     } catch (const std::exception& error) {
         reason = { ErrorKind::MalformedMessage, error.what(), "check that all VMs run the same version" };
         return std::nullopt;
--- a/libs/handover/tests/test_frames.cpp
+++ b/libs/handover/tests/test_frames.cpp
@@ -68,6 +68,18 @@
     BOOST_TEST((reason.kind == ErrorKind::MalformedMessage));
 }
 
+// Guards against a frame within the limit on its size that ends the process by its nesting.
+BOOST_AUTO_TEST_CASE(deeplyNestedFrameIsAnError)
+{
+    constexpr std::size_t bytes = 4 * 1024 * 1024;
+    FrameReader reader(bytes);
+    reader.append(std::string("\x00\x40\x00\x00", 4) + std::string(bytes, '\x91'));
+    Error reason;
+    BOOST_TEST(!reader.next(reason));
+    BOOST_TEST((reason.kind == ErrorKind::MalformedMessage));
+    BOOST_TEST(reason.message.find("nested") != std::string::npos);
+}
+
 // Any byte of a frame may be wrong; the reader must report an error or a frame, and never throw.
 BOOST_AUTO_TEST_CASE(damagedFramesNeverThrow)
 {
