--- a/libs/base/include/base/time.h
+++ b/libs/base/include/base/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace banyancroft {
 
@@ -32,6 +33,12 @@
  */
 constexpr Duration longestRequestDeadline = std::chrono::seconds(2);
 
+/** Longest duration that is taken from a message. */
+constexpr Duration maxStatedDuration = std::chrono::hours(24);
+/** A duration from a message, at most maxStatedDuration: the product of a large count and the unit would
+ * overflow. */
+Duration statedDuration(std::uint64_t count, Duration unit);
+
 /** Duration in whole microseconds; negative durations give 0. */
 std::int64_t toMicros(Duration duration);
 /** Duration in fractional milliseconds. */
--- a/libs/base/src/time.cpp
+++ b/libs/base/src/time.cpp
@@ -12,6 +12,13 @@
     return time_point(std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec));
 }
 
+Duration statedDuration(std::uint64_t count, Duration unit)
+{
+    return count < static_cast<std::uint64_t>(maxStatedDuration / unit)
+        ? unit * static_cast<Duration::rep>(count)
+        : maxStatedDuration;
+}
+
 std::int64_t toMicros(Duration duration)
 {
     return std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
--- a/libs/gateway/src/request_routing.cpp
+++ b/libs/gateway/src/request_routing.cpp
@@ -34,7 +34,7 @@
     const auto millis = deadlineText ? http::parseNumber(*deadlineText) : std::nullopt;
     if (deadlineText && !millis)
         return reject(emptyResponse(statusBadRequest), "deadline is no whole number");
-    routed.deadline = millis ? std::chrono::milliseconds(*millis) : routed.route->timeout;
+    routed.deadline = millis ? statedDuration(*millis, std::chrono::milliseconds(1)) : routed.route->timeout;
     return routed;
 }
 
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -212,7 +212,7 @@
     }
     if (const auto cold = fields.find(dialect_.headers.coldMillis)) {
         if (const auto millis = http::parseNumber(*cold))
-            upstream->coldUntil = now + std::chrono::milliseconds(*millis);
+            upstream->coldUntil = now + statedDuration(*millis, std::chrono::milliseconds(1));
     }
     if (upstream->record.zone != settings_.zone)
         reach_.recordOtherZoneContact(now);
--- a/libs/gateway/src/upstream_connection.cpp
+++ b/libs/gateway/src/upstream_connection.cpp
@@ -172,7 +172,7 @@
     const auto digits = field->substr(at + key.size());
     const auto seconds = http::parseNumber(digits.substr(0, digits.find_first_not_of("0123456789")));
     if (seconds)
-        idleUntil_ = hooks_.now() + std::chrono::seconds(*seconds) - idleCloseMargin;
+        idleUntil_ = hooks_.now() + statedDuration(*seconds, std::chrono::seconds(1)) - idleCloseMargin;
 }
 
 void UpstreamConnection::finishExchange(ExchangeOutcome outcome, const ExchangeResponse* response)
--- a/libs/gateway/tests/test_hostile_peers.cpp
+++ b/libs/gateway/tests/test_hostile_peers.cpp
@@ -143,6 +143,36 @@
     BOOST_TEST(memory.add(256 * 1024, 4096));
 }
 
+// Guards against an answer that ends early, in its head or its body, and is passed on as a whole one.
+BOOST_AUTO_TEST_CASE(answerThatIsCutAtAnyByteIsNoSuccess)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: id\r\nSignature: s\r\n";
+    const std::string record(16, 'r');
+    // Without a length, the end of the connection ends the body, so only the head can be seen to be cut.
+    const std::vector<std::pair<std::string, std::size_t>> answers {
+        { head + "Content-Length: 16\r\n\r\n" + record, 0 },
+        { head + "Transfer-Encoding: chunked\r\n\r\n10\r\n" + record + "\r\n0\r\n\r\n", 0 },
+        { head + "\r\n" + record, record.size() },
+    };
+    for (const auto& [answer, uncertain] : answers) {
+        for (std::size_t size = 1; size < answer.size() - uncertain; ++size) {
+            GatewayFixture fixture;
+            fixture.replica("ledger", "r1", respondsWith(answer.substr(0, size), true));
+            fixture.replica("shard-0", "r2", respondsWith(answer.substr(0, size), true));
+            auto route = gatherRoute(1, 1);
+            route.maxUpstreams = 1;
+            fixture.configure(configurationOf({ singleRoute(false), route }));
+            for (const std::string path : { "/credit/1", "/sweep/1" }) {
+                const auto response = fixture.callWhenReady(GatewayFixture::request(path, "id"));
+                BOOST_TEST(response.status == 502U, answer.substr(0, size));
+                BOOST_TEST(response.body.empty());
+                BOOST_TEST(!response.fields.contains("Signature"));
+            }
+            BOOST_TEST(totalRequests(fixture) == 2);
+        }
+    }
+}
+
 // Callers that send without end: the connection is closed at a limit, with an answer where one can be given.
 BOOST_AUTO_TEST_CASE(endlessRequestsEndAtALimit)
 {
@@ -234,6 +264,31 @@
     BOOST_TEST(fixture.callWhenReady(GatewayFixture::request("/lookup/1", "id-2")).status == 200U);
 }
 
+// Counts in headers that overflow a duration must not turn a deadline or a time-out into one that has passed.
+BOOST_AUTO_TEST_CASE(hugeDurationsInHeadersAreTakenForLongOnes)
+{
+    // As nanoseconds in 64 bits these would be negative.
+    const std::string hugeMillis = "9300000000000";
+    const std::string hugeSeconds = "9300000000";
+    GatewayFixture fixture;
+    auto& replica = fixture.replica("ledger", "r1", [&](const http::RequestHead& head, const std::string&) {
+        auto response = GatewayFixture::signedResponse(head, "sig", "data");
+        return FakeResponse { response.insert(
+            response.find("\r\n") + 2, "Keep-Alive: timeout=" + hugeSeconds + "\r\n") };
+    });
+    fixture.configure(configurationOf({ singleRoute(true) }));
+    for (int i = 0; i < 3; ++i) {
+        const auto response = fixture.callWhenReady("GET /lookup/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: id-"
+            + std::to_string(i) + "\r\nDeadline: " + hugeMillis + "\r\n\r\n");
+        BOOST_TEST(response.status == 200U);
+    }
+    BOOST_TEST(replica.openConnections() == 1);
+    for (const auto& deadline : replica.deadlines())
+        BOOST_TEST(std::stoll(deadline) <= 5000);
+    BOOST_TEST((statedDuration(1500, 1ms) == 1500ms));
+    BOOST_TEST((statedDuration(~std::uint64_t { 0 }, 1s) == maxStatedDuration));
+}
+
 // The process runs out of descriptors: it must neither spin nor stop accepting for good.
 BOOST_AUTO_TEST_CASE(lackOfDescriptorsEndsNeitherProcessNorService)
 {
