Match responses that end with their connection to the request, too

Callers also got status 100 where a replica sent an interim response.

Cause: the request ID was compared only for responses with a length or in chunks; the end of the connection completed any other. Nothing told interim responses from final ones.

Ruled out: copies with a length, and answers without one to their own request; both held.

matchResponse() is the one place that tells which request a response belongs to. A copy without a length closes the connection once its head is read, since no response can follow.

--- a/libs/gateway/src/upstream_connection.cpp
+++ b/libs/gateway/src/upstream_connection.cpp
@@ -93,15 +93,33 @@
                 return;
             if (!failure)
                 return closeOnException(*self, [&] { self->handleBytes(count); });
-            // A response without a length ends with an orderly close of the connection, but not with a reset.
-            if (failure == boost::asio::error::eof && self->exchange_
-                && self->reader_.end() == http::ReadState::Complete) {
-                return self->complete();
-            }
+            if (failure == boost::asio::error::eof)
+                return closeOnException(*self, [&] { self->handleEnd(); });
             self->closeWith(ExchangeOutcome::Broken);
         });
 }
 
+void UpstreamConnection::handleEnd()
+{
+    // A response without a length ends with an orderly close of the connection, but not with a reset.
+    if (exchange_ && reader_.end() == http::ReadState::Complete
+        && matchResponse() == ResponseMatch::CurrentRequest)
+        return complete();
+    closeWith(ExchangeOutcome::Broken);
+}
+
+UpstreamConnection::ResponseMatch UpstreamConnection::matchResponse() const
+{
+    constexpr unsigned firstFinalStatus = 200;
+    if (reader_.response().status < firstFinalStatus)
+        return ResponseMatch::Interim;
+    const auto responseId = reader_.response().fields.find(requestIdField_);
+    if (!responseId)
+        return returnsRequestId_ ? ResponseMatch::Unknown : ResponseMatch::CurrentRequest;
+    return *responseId == exchange_->requestId ? ResponseMatch::CurrentRequest
+                                               : ResponseMatch::EarlierRequest;
+}
+
 void UpstreamConnection::handleBytes(std::size_t count)
 {
     readBuffer_.append(chunk_.data(), count);
@@ -116,23 +134,25 @@
         std::size_t consumed = 0;
         const auto state = reader_.read(readBuffer_, consumed);
         readBuffer_.erase(0, consumed);
-        if (state == http::ReadState::Incomplete)
+        if (state == http::ReadState::Incomplete) {
+            // The copy of a response that ends with the connection leaves no room for the current one.
+            if (reader_.isHeaderDone() && !reader_.response().hasFraming
+                && matchResponse() == ResponseMatch::EarlierRequest)
+                return closeWith(ExchangeOutcome::Malformed);
             break;
+        }
         if (state == http::ReadState::HeaderTooLong || state == http::ReadState::BodyTooLong)
             return closeWith(ExchangeOutcome::TooLong);
         if (state != http::ReadState::Complete)
             return closeWith(ExchangeOutcome::Malformed);
-        const auto responseId = reader_.response().fields.find(requestIdField_);
-        if (!responseId && returnsRequestId_)
+        const auto match = matchResponse();
+        if (match == ResponseMatch::CurrentRequest)
+            return complete();
+        if (match == ResponseMatch::Unknown)
             return closeWith(ExchangeOutcome::Malformed);
-        returnsRequestId_ = responseId.has_value();
-        if (responseId && *responseId != exchange_->requestId) {
-            // A duplicate response to an earlier request; the response to the current one follows.
-            reader_.begin(exchange_->withoutBody);
-            releaseMemory();
-            continue;
-        }
-        return complete();
+        returnsRequestId_ = returnsRequestId_ || match == ResponseMatch::EarlierRequest;
+        reader_.begin(exchange_->withoutBody);
+        releaseMemory();
     }
     if (!closed_)
         read();
@@ -141,6 +161,7 @@
 void UpstreamConnection::complete()
 {
     hasResponded_ = true;
+    returnsRequestId_ = reader_.response().fields.find(requestIdField_).has_value();
     const bool reusable = readBuffer_.empty() && bytesWritten_ == writeBuffer_.size()
         && reader_.response().hasFraming && reader_.keepsAlive();
     updateIdleTimeout();
--- a/libs/gateway/src/upstream_connection.h
+++ b/libs/gateway/src/upstream_connection.h
@@ -54,7 +54,7 @@
  * An HTTP connection to a replica that carries one request at a time.
  *
  * Bytes received while no request is pending close the connection. A response that carries another request
- * ID is discarded, and the response to the current request is expected after it.
+ * ID, and an interim response, is discarded, and the response to the current request is expected after it.
  */
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
 public:
@@ -96,9 +96,23 @@
     bool isFresh(TimePoint now) const { return now < idleUntil_; }
 
 private:
+    /** Which request a complete response head belongs to. */
+    enum class ResponseMatch {
+        CurrentRequest,
+        /** An interim response, after which the final one follows. */
+        Interim,
+        /** A second copy of the response to an earlier request. */
+        EarlierRequest,
+        /** The replica usually returns the request ID, and this response lacks it. */
+        Unknown,
+    };
+
     void write();
     void read();
     void handleBytes(std::size_t count);
+    /** Handles the orderly end of the connection, which ends a response without a length. */
+    void handleEnd();
+    ResponseMatch matchResponse() const;
     void releaseMemory();
     void complete();
     void finishExchange(ExchangeOutcome outcome, const ExchangeResponse* response);
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -175,6 +175,45 @@
     }
 }
 
+// Guards against a caller that gets the response to an earlier request, because a copy of it has no length
+// and ends with the connection.
+BOOST_AUTO_TEST_CASE(duplicateResponseWithoutLengthIsNotMatchedToNextRequest)
+{
+    for (const bool closes : { true, false }) {
+        GatewayFixture fixture;
+        std::string copy;
+        fixture.replica("ledger", "r1", [&](const http::RequestHead& head, const std::string&) {
+            const auto own = GatewayFixture::signedResponse(head, "sig", "for " + std::string(head.target));
+            const auto previous = std::exchange(copy, own);
+            copy.erase(copy.find("Content-Length"), copy.find("\r\n\r\n") - copy.find("Content-Length") + 2);
+            return previous.empty() ? FakeResponse { own } : FakeResponse { previous, closes };
+        });
+        fixture.configure(configurationOf({ singleRoute(false) }));
+        for (const std::string path : { "/credit/1", "/credit/2" }) {
+            const auto response = fixture.callWhenReady(GatewayFixture::request(path, "id" + path, 1000));
+            BOOST_TEST(response.status == (path == "/credit/1" ? 200U : 502U));
+            BOOST_TEST(response.body == (path == "/credit/1" ? "for /credit/1" : ""));
+        }
+    }
+}
+
+// An interim response is not the response to the request; the final one follows it.
+BOOST_AUTO_TEST_CASE(interimResponsesAreSkipped)
+{
+    GatewayFixture fixture;
+    bool cut = false;
+    fixture.replica("ledger", "r1", [&](const http::RequestHead& head, const std::string&) {
+        const std::string interim
+            = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+        return FakeResponse { interim + (cut ? "" : GatewayFixture::signedResponse(head, "sig", "data")),
+            cut };
+    });
+    fixture.configure(configurationOf({ singleRoute(false) }));
+    BOOST_TEST(fixture.callWhenReady(GatewayFixture::request("/credit/1", "id-1")).body == "data");
+    cut = true;
+    BOOST_TEST(fixture.callWhenReady(GatewayFixture::request("/credit/1", "id-2")).status == 502U);
+}
+
 // Guards against a second run: a copy of a refusal is taken for the response to the same request, sent again.
 BOOST_AUTO_TEST_CASE(copyOfRefusalIsNotMatchedToResentRequest)
 {
