Extend the cold phase of a replica that registers as cold again

Cause: the warm-up time of an entry was read only when the replica was first registered or restarted.

Ruled out: the limit itself (it holds after a start) and the age of the entry (known about 2 s before the zone is taken back).

A newer entry of the same run extends the phase; the same or an older one does not.

--- a/libs/upstreams/src/registry.cpp
+++ b/libs/upstreams/src/registry.cpp
@@ -34,6 +34,9 @@
         const bool startsDraining = record.draining && !known->record.draining;
         if (known->record.sequence != record.sequence)
             known->misdirected = false;
+        // The replica may have turned cold again. An entry that is known already must not restart the phase.
+        if (known->record.sequence < record.sequence)
+            known->coldUntil = std::max(known->coldUntil, now + record.coldFor);
         known->record = record;
         known->usable = !record.draining;
         if (startsDraining) {
--- a/libs/upstreams/tests/test_registry.cpp
+++ b/libs/upstreams/tests/test_registry.cpp
@@ -123,6 +123,24 @@
     BOOST_TEST(fixture.registry.upstreams(service).front()->number == secondRun->number);
 }
 
+// Guards against the full rate for a replica that turns cold again while it runs.
+BOOST_AUTO_TEST_CASE(laterEntryOfRunningReplicaExtendsColdPhase)
+{
+    RegistryFixture fixture;
+    fixture.put(record("r1", 5000, 1), start);
+    const auto upstream = fixture.registry.upstreams(service).front();
+    BOOST_TEST(!upstream->isCold(start));
+    auto cold = record("r1", 5000, 2);
+    cold.coldFor = 6s;
+    fixture.put(cold, start + 10s);
+    BOOST_TEST(upstream->isCold(start + 15s));
+    // The same entry again, from a listing, and an entry that says nothing of it.
+    fixture.put(cold, start + 12s);
+    fixture.put(record("r1", 5000, 3), start + 13s);
+    BOOST_TEST(upstream->isCold(start + 15s));
+    BOOST_TEST(!upstream->isCold(start + 16s));
+}
+
 BOOST_AUTO_TEST_CASE(olderWriteOfTheSameRunIsIgnored)
 {
     RegistryFixture fixture;
