Respect what a replica says of itself in its answers: leaving, no requests

The gateway read neither: a replica whose registration lags, or never says it, stayed in use.

ReplicaStatement holds what one answer states; Registry::applyStatement() is the one place that applies it, to the run of the replica that gave the answer. Leaving ends only with a restart, also across a removal and a new registration. A resting replica is no candidate; afterwards it gets one request at a time until it answers one, and VMs return at different times. Requests whose replicas all rest wait within their objective or are refused at once with the end of the rest. A connection that was being opened is not used for a replica that stopped being a candidate meanwhile.

--- a/libs/gateway/include/gateway/dialect.h
+++ b/libs/gateway/include/gateway/dialect.h
@@ -32,6 +32,8 @@
     std::string partSignatures;
     /** Number of shards missing from a merged response. */
     std::string missingParts;
+    /** "1" in the responses of an upstream that is shutting down. */
+    std::string leaving;
 };
 
 /** Platform-specific names and formats in the HTTP messages of callers and upstreams. */
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -29,6 +29,8 @@
 constexpr int defaultTypicalDivisor = 8;
 /** Retry-After for requests that no replica could serve; another VM may reach the replicas. */
 constexpr Duration unavailableRetryAfter = std::chrono::milliseconds(50);
+/** Retry-After for requests whose replicas rest exceeds the rest by a random fraction of it, at most this. */
+constexpr double returnSpread = 0.2;
 
 std::string formatMillis(Duration duration) { return std::to_string(toMillis(duration)); }
 
@@ -114,8 +116,11 @@
         return dispatch::hedgeDelay(history_.responseTimes,
             traffic_.remainingBudgetShare(serviceOf(shard), BootClock::now()), route_.latencyObjective);
     });
-    if (route_.isGather() && !traffic_.isServable(route_, rules.requiredParts, now))
-        return respondWithRefusal(now);
+    if (route_.isGather() && !traffic_.isServable(route_, rules.requiredParts, now)) {
+        const auto restEnd = traffic_.servableAfterRest(route_.gather.shards, rules.requiredParts, now);
+        if (!restEnd || *restEnd >= rules.partialAnswerAt)
+            return respondWithRefusal(now);
+    }
     onDisconnect_([weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->handleDisconnect(BootClock::now());
@@ -221,8 +226,12 @@
         // The attempt in progress may still be refused; its replica may then receive the request again.
         if (isOpen(attempts_, step.shard))
             return plan_->blocked(step.shard, plan_->rules().deadline);
+        const auto restEnd = traffic_.servableAfterRest({ &service, 1 }, 1, now);
+        if (restEnd && *restEnd < arrivedAt_ + route_.latencyObjective)
+            return plan_->blocked(step.shard, *restEnd);
         traffic_.requestLog().logStep(now, "no replica available for the request",
             { { "id", requestId_ }, { "service", service.str() }, { "tried", std::to_string(tried.size()) },
+                { "resting_ms", restEnd ? formatMillis(*restEnd - now) : "0" },
                 { "registered", std::to_string(traffic_.registry().upstreams(service).size()) } });
         return plan_->unavailable(step.shard);
     }
@@ -269,9 +278,11 @@
     traffic_.pool(attempt->upstream)
         .connect(now, [weak = weak_from_this(), attempt, &traffic, otherZone](auto connection) {
             const auto self = weak.lock();
-            const bool wanted
-                = self && !self->finished_ && !attempt->detached && !self->plan_->isDone(attempt->shard);
             const auto at = BootClock::now();
+            // The replica may have started to leave or to rest meanwhile.
+            const bool wanted = self && !self->finished_ && !attempt->detached
+                && !self->plan_->isDone(attempt->shard)
+                && upstreams::isCandidate(*attempt->upstream, traffic.registry(), at);
             if (connection && otherZone)
                 traffic.reach().recordOtherZoneContact(at);
             if (connection && wanted) {
@@ -409,10 +420,19 @@
     auto& reach = traffic_.reach();
     reach.recordFailure(now);
     const bool cutOff = reach.isCutOff(now);
-    const auto wait = cutOff ? retryDelayAfterCutOff(now - reach.cutOffSince(), unavailableRetryAfter)
-                             : unavailableRetryAfter;
-    finish(
-        unavailableResponse(traffic_.dialect().headers, wait), cutOff ? "refused, cut off" : "refused", now);
+    const auto restEnd = route_.isGather()
+        ? traffic_.servableAfterRest(route_.gather.shards, plan_->rules().requiredParts, now)
+        : traffic_.servableAfterRest({ &selectedService_, 1 }, 1, now);
+    auto wait = cutOff ? retryDelayAfterCutOff(now - reach.cutOffSince(), unavailableRetryAfter)
+                       : unavailableRetryAfter;
+    // Callers that are refused at the same time must not return all at once.
+    if (restEnd)
+        wait = std::max(wait, scaled(*restEnd - now, 1 + returnSpread * traffic_.uniformRandom()));
+    finish(unavailableResponse(traffic_.dialect().headers, wait),
+        cutOff        ? "refused, cut off"
+            : restEnd ? "refused, replicas rest"
+                      : "refused",
+        now);
 }
 
 void RequestRunner::respondWithFailure(TimePoint now)
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -26,6 +26,11 @@
 /** After a stall, other VMs may have taken over this VM's share of the cold rates: time to learn of it. */
 constexpr Duration coldPauseAfterStall = std::chrono::seconds(2);
 
+/** Each VM extends the rest of a replica by a random fraction of it, at most this. */
+constexpr double restSpread = 0.25;
+/** The fraction is taken of at most this much of a rest. */
+constexpr Duration maxSpreadRest = std::chrono::seconds(4);
+
 std::string_view eventMessage(upstreams::RegistryEvent event)
 {
     switch (event) {
@@ -35,6 +40,8 @@
         return "upstream restarted";
     case upstreams::RegistryEvent::Draining:
         return "upstream is draining";
+    case upstreams::RegistryEvent::Leaving:
+        return "upstream says that it is leaving";
     case upstreams::RegistryEvent::RemovalDeferred:
         return "upstream removal deferred";
     case upstreams::RegistryEvent::Removed:
@@ -61,6 +68,10 @@
           metrics.counter("banyancroft_gateway_upstream_refusals_total", "Requests replicas did not run"))
     , upstreamFailures(
           metrics.counter("banyancroft_gateway_upstream_failures_total", "Requests without usable answer"))
+    , rests(metrics.counter(
+          "banyancroft_gateway_upstream_rests_total", "Responses with which replicas asked for no requests"))
+    , malformedStatements(metrics.counter("banyancroft_gateway_malformed_statements_total",
+          "Responses with unreadable header fields about the replica"))
     , connections(metrics.counter("banyancroft_gateway_connections_total", "Connections opened to replicas"))
     , droppedLines(metrics.counter("banyancroft_gateway_log_dropped_total", "Request lines not written"))
     , offers(metrics.counter("banyancroft_handover_offers_total", "Requests offered to dispatchers"))
@@ -210,14 +221,12 @@
         if (const auto load = dialect_.parseLoad(*text))
             health.loadReported(*load, now);
     }
-    if (const auto cold = fields.find(dialect_.headers.coldMillis)) {
-        if (const auto millis = http::parseNumber(*cold))
-            upstream->coldUntil = now + statedDuration(*millis, std::chrono::milliseconds(1));
-    }
+    applyStatement(upstream, response->head, now);
     if (upstream->record.zone != settings_.zone)
         reach_.recordOtherZoneContact(now);
     switch (classifyResponse(response->head, dialect_)) {
     case ResponseKind::Result:
+        upstream->isReturning = upstream->isResting(now);
         metrics_.upstreamSeconds.record(now - sentAt);
         return health.answered(sentAt, now, typical);
     case ResponseKind::Misdirected:
@@ -236,6 +245,31 @@
     }
 }
 
+void TrafficManager::applyStatement(
+    const upstreams::UpstreamPointer& upstream, const http::ResponseHead& head, TimePoint now)
+{
+    auto [statement, isMalformed] = readStatement(head, upstream->record.id, dialect_);
+    if (isMalformed) {
+        metrics_.malformedStatements.add();
+        if (!std::exchange(upstream->hasLoggedMalformed, true))
+            log(LogLevel::Warn, "registry",
+                "ignoring malformed header fields that an upstream sets about itself",
+                { { "upstream", upstream->record.id.str() }, { "status", std::to_string(head.status) } });
+    }
+    if (statement.restFor) {
+        // VMs must not return to the replica all at the same moment.
+        *statement.restFor
+            += scaled(std::min(*statement.restFor, maxSpreadRest), restSpread * uniformRandom());
+        metrics_.rests.add();
+        requestLog_.logStep(now, "upstream wants no requests for a time",
+            { { "upstream", upstream->record.id.str() },
+                { "rest_ms", std::to_string(toMillis(*statement.restFor)) },
+                { "rested_ms",
+                    std::to_string(toMillis(std::max(upstream->restUntil - now, Duration::zero()))) } });
+    }
+    registry_.applyStatement(upstream, statement, now);
+}
+
 void TrafficManager::recordStart(const upstreams::Upstream& upstream, TimePoint now)
 {
     if (upstream.isCold(now))
@@ -338,6 +372,26 @@
     return countServableShards(route, nullptr, now) >= needed;
 }
 
+std::optional<TimePoint> TrafficManager::servableAfterRest(
+    std::span<const ServiceId> services, std::size_t needed, TimePoint now) const
+{
+    std::vector<TimePoint> servableAt;
+    for (const auto& service : services) {
+        const auto candidates = registry_.upstreams(service);
+        const bool hasCandidate = std::any_of(candidates.begin(), candidates.end(),
+            [&](const auto& upstream) { return upstreams::isCandidate(*upstream, registry_, now); });
+        const auto restEnd
+            = hasCandidate ? std::optional(now) : upstreams::earliestRestEnd(candidates, registry_, now);
+        if (restEnd)
+            servableAt.push_back(*restEnd);
+    }
+    if (needed == 0 || servableAt.size() < needed)
+        return std::nullopt;
+    std::sort(servableAt.begin(), servableAt.end());
+    const auto at = servableAt[needed - 1];
+    return at > now ? std::optional(at) : std::nullopt;
+}
+
 std::size_t TrafficManager::countServableShards(
     const routing::Route& route, const AvailabilityZone* zone, TimePoint now) const
 {
--- a/libs/gateway/src/traffic_manager.h
+++ b/libs/gateway/src/traffic_manager.h
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <span>
@@ -43,6 +44,8 @@
     telemetry::Counter& repeatsDenied;
     telemetry::Counter& upstreamRefusals;
     telemetry::Counter& upstreamFailures;
+    telemetry::Counter& rests;
+    telemetry::Counter& malformedStatements;
     telemetry::Counter& connections;
     telemetry::Counter& droppedLines;
     telemetry::Counter& offers;
@@ -134,6 +137,12 @@
     void tick(TimePoint now);
     /** Returns true if at least `needed` shards of a scatter-gather route have a candidate replica. */
     bool isServable(const routing::Route& route, std::size_t needed, TimePoint now) const;
+    /**
+     * Earliest time at which `needed` services have a candidate because replicas end their rest; empty if
+     * rests are not what is missing.
+     */
+    std::optional<TimePoint> servableAfterRest(
+        std::span<const ServiceId> services, std::size_t needed, TimePoint now) const;
     /** Tracks from request outcomes whether this VM can reach the replicas. */
     ReachTracker& reach() { return reach_; }
     const ReachTracker& reach() const { return reach_; }
@@ -154,6 +163,9 @@
     void removeUnusedPools();
     /** Requests per second that this VM may send to the replica while it is cold. */
     double coldRate(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const;
+    /** Applies what the replica says of itself in a response. */
+    void applyStatement(
+        const upstreams::UpstreamPointer& upstream, const http::ResponseHead& head, TimePoint now);
     void registryChanged(upstreams::RegistryEvent event, const upstreams::Upstream& upstream);
 
     boost::asio::io_context& ioContext_;
--- a/libs/gateway/src/upstream_response.cpp
+++ b/libs/gateway/src/upstream_response.cpp
@@ -1,5 +1,7 @@
 #include "upstream_response.h"
 
+#include "local_responses.h"
+
 #include <algorithm>
 #include <array>
 
@@ -8,7 +10,6 @@
 namespace {
 
 constexpr unsigned statusMisdirected = 421;
-constexpr unsigned statusBadGateway = 502;
 /** Statuses that tell a caller that its request was not executed. */
 constexpr std::array<unsigned, 4> notExecutedStatuses { 408, 421, 429, 503 };
 
@@ -29,6 +30,33 @@
     return isResult ? ResponseKind::Result : ResponseKind::Failure;
 }
 
+ReadStatement readStatement(
+    const http::ResponseHead& head, const UpstreamId& upstream, const Dialect& dialect)
+{
+    const auto& names = dialect.headers;
+    ReadStatement result;
+    const auto sender = head.fields.find(names.upstreamId);
+    if (head.status == statusMisdirected && sender != upstream.view())
+        return result;
+    if (const auto leaving = head.fields.find(names.leaving)) {
+        result.statement.leaving = *leaving == "1";
+        result.isMalformed = !result.statement.leaving;
+    }
+    if (const auto cold = head.fields.find(names.coldMillis)) {
+        if (const auto millis = http::parseNumber(*cold)) {
+            result.statement.coldFor = statedDuration(*millis, std::chrono::milliseconds(1));
+        } else {
+            result.isMalformed = true;
+        }
+    }
+    const auto retryAfter = head.fields.find(names.retryAfter);
+    if (head.status == statusUnavailable && retryAfter) {
+        result.statement.restFor = http::parseSeconds(*retryAfter);
+        result.isMalformed = result.isMalformed || !result.statement.restFor;
+    }
+    return result;
+}
+
 http::Response forwardedResponse(const http::ResponseHead& head, std::string body, const Dialect& dialect)
 {
     http::Response response;
@@ -43,8 +71,8 @@
     }
     response.status = head.status;
     const auto& names = dialect.headers;
-    const std::array<std::string_view, 4> internal { names.load, names.upstreamId, names.coldMillis,
-        names.notExecuted };
+    const std::array<std::string_view, 5> internal { names.load, names.upstreamId, names.coldMillis,
+        names.notExecuted, names.leaving };
     for (std::size_t i = 0; i < head.fields.size(); ++i) {
         const auto field = head.fields.at(i);
         const bool isInternal = std::any_of(internal.begin(), internal.end(),
--- a/libs/gateway/src/upstream_response.h
+++ b/libs/gateway/src/upstream_response.h
@@ -3,6 +3,7 @@
 #include "gateway/dialect.h"
 #include "http/message_reader.h"
 #include "http/message_writer.h"
+#include "upstreams/statement.h"
 
 #include <string>
 #include <string_view>
@@ -23,6 +24,19 @@
 
 ResponseKind classifyResponse(const http::ResponseHead& head, const Dialect& dialect);
 
+/** A statement of a replica, and whether a header field of it could not be read. */
+struct ReadStatement {
+    upstreams::ReplicaStatement statement;
+    bool isMalformed = false;
+};
+
+/**
+ * Reads what the replica says of itself in a response. A field that cannot be read has no effect, and neither
+ * has the response of another replica at the same address.
+ */
+ReadStatement readStatement(
+    const http::ResponseHead& head, const UpstreamId& upstream, const Dialect& dialect);
+
 /**
  * Converts a replica's response to the response for the caller. Status, body and end-to-end header fields
  * are kept; header fields that are meant for the gateway are removed. Returns 502 instead if the status
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -196,7 +196,7 @@
         : store(ioContext)
     {
         dialect.headers = { "Request-Id", "Deadline", "Signature", "Expect", "Load", "Not-Run", "Retry-After",
-            "Upstream", "Cold", "Parts", "Lacking" };
+            "Upstream", "Cold", "Parts", "Lacking", "Leaving" };
         dialect.readyPath = "/ready";
         dialect.parseLoad = [](std::string_view) { return std::optional<upstreams::ReportedLoad>(); };
         settings.vm = VmId("vm-1");
--- a/libs/gateway/tests/test_decisions.cpp
+++ b/libs/gateway/tests/test_decisions.cpp
@@ -21,7 +21,7 @@
 {
     Dialect dialect;
     dialect.headers = { "Request-Id", "Deadline", "Signature", "Expect", "Load", "Not-Run", "Retry-After",
-        "Upstream", "Cold", "Parts", "Lacking" };
+        "Upstream", "Cold", "Parts", "Lacking", "Leaving" };
     return dialect;
 }
 
--- a/libs/http/include/http/head.h
+++ b/libs/http/include/http/head.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/time.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -48,4 +50,8 @@
 /** Parses an unsigned decimal integer; empty for anything else and for more than 18 digits. */
 std::optional<std::uint64_t> parseNumber(std::string_view text);
 
+/** Parses a decimal number of seconds with an optional fraction, such as "2" or "0.25"; empty for anything
+ * else. More than 24 h count as 24 h. */
+std::optional<Duration> parseSeconds(std::string_view text);
+
 } // namespace banyancroft::http
--- a/libs/http/src/head.cpp
+++ b/libs/http/src/head.cpp
@@ -89,4 +89,26 @@
     return number;
 }
 
+std::optional<Duration> parseSeconds(std::string_view text)
+{
+    const auto point = text.find('.');
+    const auto seconds = parseNumber(text.substr(0, point));
+    if (!seconds)
+        return std::nullopt;
+    auto result = statedDuration(*seconds, std::chrono::seconds(1));
+    if (point == std::string_view::npos)
+        return result;
+    auto digits = text.substr(point + 1);
+    constexpr std::size_t maxDigits = 9;
+    if (digits.size() > maxDigits)
+        return std::nullopt;
+    auto unit = Duration(std::chrono::seconds(1));
+    for (std::size_t i = 0; i < digits.size(); ++i)
+        unit /= 10;
+    const auto fraction = parseNumber(digits);
+    if (!fraction)
+        return std::nullopt;
+    return std::min<Duration>(result + statedDuration(*fraction, unit), maxStatedDuration);
+}
+
 } // namespace banyancroft::http
--- a/libs/upstreams/include/upstreams/placement.h
+++ b/libs/upstreams/include/upstreams/placement.h
@@ -39,10 +39,15 @@
     bool canWait = false;
 };
 
-/** False when the replica is draining, removed, misdirected, suspect or in an evacuated availability zone.
+/** False when the replica is draining, leaving, removed, misdirected, suspect, resting or in an evacuated
+ * availability zone.
  * Suspect replicas are probed by connections instead of requests. */
 bool isCandidate(const Upstream& upstream, const Registry& registry, TimePoint now);
 
+/** Earliest time at which a replica that rests becomes a candidate; empty if none rests. */
+std::optional<TimePoint> earliestRestEnd(
+    std::span<const UpstreamPointer> candidates, const Registry& registry, TimePoint now);
+
 /**
  * Selects the candidate with the least expected delay, with a preference for the VM's own availability zone.
  *
--- a/libs/upstreams/include/upstreams/registry.h
+++ b/libs/upstreams/include/upstreams/registry.h
@@ -2,6 +2,7 @@
 
 #include "upstreams/health.h"
 #include "upstreams/record.h"
+#include "upstreams/statement.h"
 
 #include <functional>
 #include <memory>
@@ -20,12 +21,21 @@
     UpstreamHealth health;
     /** End of the cold phase, as registered or reported by the replica. */
     TimePoint coldUntil {};
-    /** False once the replica is draining, removed or replaced; it receives no new requests. */
+    /** End of the time for which the replica wants no requests from this VM. */
+    TimePoint restUntil {};
+    /** The replica has rested and has not answered a request since; it gets one request at a time. */
+    bool isReturning = false;
+    /** The replica has said in an answer that it is leaving. */
+    bool isLeaving = false;
+    /** False once the replica is draining, leaving, removed or replaced; it receives no new requests. */
     bool usable = true;
+    /** A log line about malformed statements of this replica was written. */
+    bool hasLoggedMalformed = false;
     /** Another replica answered at this address; no requests are sent until the registration changes. */
     bool misdirected = false;
 
     bool isCold(TimePoint now) const { return now < coldUntil; }
+    bool isResting(TimePoint now) const { return now < restUntil; }
 };
 
 using UpstreamPointer = std::shared_ptr<Upstream>;
@@ -42,6 +52,8 @@
     Added,
     Restarted,
     Draining,
+    /** The replica has said in an answer that it is leaving. */
+    Leaving,
     /** The entry was removed in the grace period after an outage; the replica stays in use until its end. */
     RemovalDeferred,
     Removed,
@@ -65,6 +77,14 @@
     /** Applies a complete list: adds and updates its replicas and removes all others. */
     void applyListing(std::span<const UpstreamRecord> records, TimePoint now);
     void apply(const RegistryChange& change, TimePoint now);
+    /**
+     * Applies what a replica said of itself in an answer.
+     *
+     * An answer is newer than what is registered, so no entry of the same run takes back that it is leaving,
+     * also not after its removal. A longer rest replaces a shorter one, not the other way round. The answer
+     * sets the end of the cold phase; later entries only extend it.
+     */
+    void applyStatement(const UpstreamPointer& upstream, const ReplicaStatement& statement, TimePoint now);
     /** The store answers again after an outage. */
     void storeRecovered(TimePoint now);
     /** Applies the deferred removals once the grace period is over; to be called about once a second. */
--- a/libs/upstreams/src/placement.cpp
+++ b/libs/upstreams/src/placement.cpp
@@ -19,7 +19,19 @@
 {
     if (!upstream.usable || upstream.misdirected || registry.isEvacuated(upstream.record.zone))
         return false;
-    return !upstream.health.isSuspect(now);
+    return !upstream.isResting(now) && !upstream.health.isSuspect(now);
+}
+
+std::optional<TimePoint> earliestRestEnd(
+    std::span<const UpstreamPointer> candidates, const Registry& registry, TimePoint now)
+{
+    std::optional<TimePoint> earliest;
+    for (const auto& upstream : candidates) {
+        // A replica that is no candidate at the end of its rest does not serve then either.
+        if (upstream->isResting(now) && isCandidate(*upstream, registry, upstream->restUntil))
+            earliest = std::min(earliest.value_or(TimePoint::max()), upstream->restUntil);
+    }
+    return earliest;
 }
 
 Placement place(std::span<const UpstreamPointer> candidates, const Registry& registry,
@@ -35,6 +47,10 @@
         if (excluded)
             continue;
         const auto& health = upstream->health;
+        if (upstream->isReturning && health.outstanding() > 0) {
+            best.canWait = true;
+            continue;
+        }
         const auto expected = health.expectedDelay(upstream->record.slots, request.typicalLatency, now);
         auto score = expected + scaled(request.typicalLatency, scoreJitter * hooks.random());
         if (upstream->record.zone != request.ownZone)
--- a/libs/upstreams/src/registry.cpp
+++ b/libs/upstreams/src/registry.cpp
@@ -38,7 +38,7 @@
         if (known->record.sequence < record.sequence)
             known->coldUntil = std::max(known->coldUntil, now + record.coldFor);
         known->record = record;
-        known->usable = !record.draining;
+        known->usable = !record.draining && !known->isLeaving;
         if (startsDraining) {
             unlist(known);
             listener_(RegistryEvent::Draining, *known);
@@ -86,6 +86,24 @@
         }
     }
 
+    void applyStatement(const UpstreamPointer& upstream, const ReplicaStatement& statement, TimePoint now)
+    {
+        if (statement.coldFor)
+            upstream->coldUntil = now + *statement.coldFor;
+        if (statement.restFor) {
+            upstream->restUntil = std::max(upstream->restUntil, now + *statement.restFor);
+            upstream->isReturning = true;
+        }
+        if (!statement.leaving || upstream->isLeaving)
+            return;
+        upstream->isLeaving = true;
+        rememberLeaving(upstream->record, now);
+        if (!std::exchange(upstream->usable, false))
+            return;
+        unlist(upstream);
+        listener_(RegistryEvent::Leaving, *upstream);
+    }
+
     std::span<const UpstreamPointer> upstreams(const ServiceId& service) const
     {
         const auto found = byService_.find(service.view());
@@ -94,16 +112,40 @@
         return found->second;
     }
 
+    /** A run of a replica that has said that it is leaving. */
+    struct LeavingRun {
+        UpstreamRecord record;
+        TimePoint heardAt {};
+    };
+
     const Duration recoveryGrace_;
     const Listener listener_;
     StringMap<UpstreamPointer> byId_;
     StringMap<std::vector<UpstreamPointer>> byService_;
     /** Ids of entries that were removed during a grace period, with its end. */
     std::map<std::string, TimePoint> deferredRemovals_;
+    /** By id, also after the entry was removed, since it may be registered once more. */
+    std::map<std::string, LeavingRun> leavingRuns_;
     TimePoint graceUntil_ {};
     std::uint64_t lastNumber_ = 0;
 
 private:
+    /** A replica has ended long before this time after it said that it is leaving. */
+    static constexpr Duration leavingMemory = std::chrono::minutes(10);
+
+    void rememberLeaving(const UpstreamRecord& record, TimePoint now)
+    {
+        std::erase_if(
+            leavingRuns_, [now](const auto& entry) { return now - entry.second.heardAt >= leavingMemory; });
+        leavingRuns_[record.id.str()] = { record, now };
+    }
+
+    bool hasSaidLeaving(const UpstreamRecord& record) const
+    {
+        const auto found = leavingRuns_.find(record.id.str());
+        return found != leavingRuns_.end() && !isRestart(record, found->second.record);
+    }
+
     static bool isOlder(const UpstreamRecord& record, const UpstreamRecord& known)
     {
         if (record.startedAtUnixMillis != known.startedAtUnixMillis)
@@ -123,7 +165,8 @@
         upstream->number = ++lastNumber_;
         upstream->record = record;
         upstream->coldUntil = now + record.coldFor;
-        upstream->usable = !record.draining;
+        upstream->isLeaving = hasSaidLeaving(record);
+        upstream->usable = !record.draining && !upstream->isLeaving;
         byId_[record.id.str()] = upstream;
         if (upstream->usable)
             byService_[record.service.str()].push_back(upstream);
@@ -174,6 +217,12 @@
     }
 }
 
+void Registry::applyStatement(
+    const UpstreamPointer& upstream, const ReplicaStatement& statement, TimePoint now)
+{
+    impl_->applyStatement(upstream, statement, now);
+}
+
 void Registry::storeRecovered(TimePoint now) { impl_->graceUntil_ = now + impl_->recoveryGrace_; }
 
 void Registry::applyDeferredRemovals(TimePoint now) { impl_->applyDeferredRemovals(now); }
--- a/libs/upstreams/tests/test_placement.cpp
+++ b/libs/upstreams/tests/test_placement.cpp
@@ -82,6 +82,26 @@
 
 } // namespace
 
+// A replica that rests gets nothing; at the end it gets one request at a time until it has answered one.
+BOOST_AUTO_TEST_CASE(restingReplicaIsAvoidedAndReturnsSlowly)
+{
+    Shard shard;
+    const auto candidates = shard.registry.upstreams(ServiceId("shard"));
+    for (const auto& upstream : candidates)
+        shard.registry.applyStatement(
+            upstream, { false, upstream->record.zone.str() == "a" ? 1s : 3s, {} }, start);
+    BOOST_TEST(shard.zoneOf(shard.placeAt(start + 900ms)) == "none");
+    BOOST_TEST(!shard.placeAt(start + 900ms).canWait);
+    BOOST_TEST((earliestRestEnd(candidates, shard.registry, start + 500ms) == start + 1s));
+    BOOST_TEST(shard.zoneOf(shard.placeAt(start + 1s)) == "a");
+    shard.in("a").health.sent(start + 1s);
+    BOOST_TEST(shard.zoneOf(shard.placeAt(start + 1100ms)) == "none");
+    BOOST_TEST(shard.placeAt(start + 1100ms).canWait);
+    shard.in("a").isReturning = false;
+    BOOST_TEST(shard.zoneOf(shard.placeAt(start + 1100ms)) == "a");
+    BOOST_TEST(!earliestRestEnd(candidates, shard.registry, start + 3s));
+}
+
 BOOST_AUTO_TEST_CASE(replicaInOwnZoneIsPreferredUntilItsQueueGrows)
 {
     Shard shard;
--- a/libs/upstreams/tests/test_registry.cpp
+++ b/libs/upstreams/tests/test_registry.cpp
@@ -123,6 +123,41 @@
     BOOST_TEST(fixture.registry.upstreams(service).front()->number == secondRun->number);
 }
 
+// Guards against use of a replica that has said in an answer that it leaves: neither its registration, a
+// listing nor a registration after its removal takes that back, but a restart does.
+BOOST_AUTO_TEST_CASE(leavingReplicaIsNotUsedUntilItRestarts)
+{
+    RegistryFixture fixture;
+    fixture.put(record("r1", 5000, 1), start);
+    fixture.registry.applyStatement(fixture.registry.upstreams(service).front(), { true, {}, {} }, start);
+    BOOST_TEST((fixture.events.back() == RegistryEvent::Leaving));
+    BOOST_TEST(fixture.listedCount() == 0U);
+    fixture.put(record("r1", 5000, 2), start + 1s);
+    BOOST_TEST(fixture.listedCount() == 0U);
+    const std::vector<UpstreamRecord> listing { record("r1", 5000, 3) };
+    fixture.registry.applyListing(listing, start + 2s);
+    BOOST_TEST(fixture.listedCount() == 0U);
+    fixture.remove("r1", start + 3s);
+    fixture.put(record("r1", 5000, 4), start + 4s);
+    BOOST_TEST(fixture.listedCount() == 0U);
+    fixture.put(record("r1", 9000, 1), start + 5s);
+    BOOST_TEST(fixture.listedCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(longerRestReplacesShorterOneAndNotTheOtherWayRound)
+{
+    RegistryFixture fixture;
+    fixture.put(record("r1"), start);
+    const auto upstream = fixture.registry.upstreams(service).front();
+    fixture.registry.applyStatement(upstream, { false, 2s, {} }, start);
+    fixture.registry.applyStatement(upstream, { false, 500ms, {} }, start + 1s);
+    BOOST_TEST(upstream->isResting(start + 1900ms));
+    fixture.registry.applyStatement(upstream, { false, 3s, {} }, start + 1s);
+    BOOST_TEST(upstream->isResting(start + 3900ms));
+    BOOST_TEST(!upstream->isResting(start + 4s));
+    BOOST_TEST(fixture.listedCount() == 1U);
+}
+
 // Guards against the full rate for a replica that turns cold again while it runs.
 BOOST_AUTO_TEST_CASE(laterEntryOfRunningReplicaExtendsColdPhase)
 {
