Tell ingress VMs which replicas are leaving

An ingress VM passes on the answers that a dispatcher received, so it must not send to a replica that said in one of them that it is leaving; but only the dispatcher read it. The frame UpstreamLeaving carries id and start of the replica at once, and on connect. All VMs have to run this version.

ingressVmKnowsWhatLeavingReplicaToldTheDispatcher plays a dispatcher that freezes after such an answer: the next request is refused, not sent.

--- a/libs/gateway/src/dispatch_tier.cpp
+++ b/libs/gateway/src/dispatch_tier.cpp
@@ -27,11 +27,17 @@
     , role_({ traffic.settings().minDispatchersPerZone,
                 scaled(traffic.settings().maxPropagationDelay, visibilityFraction) },
           traffic.uniformRandom())
-    , dispatchers_(traffic.ioContext())
+    , dispatchers_(traffic.ioContext(),
+          [&traffic](const handover::UpstreamLeaving& leaving) {
+              traffic.registry().applyLeaving(
+                  leaving.upstream, leaving.startedAtUnixMillis, BootClock::now());
+          })
     , server_(traffic, serverHooks())
     , context_ { traffic, dispatchers_,
         [this](const VmId& dispatcher) { hooks_.fetchConfiguration(dispatcher); } }
 {
+    traffic_.onUpstreamLeaving(
+        [this](const upstreams::UpstreamRecord& upstream) { server_.announceLeaving(upstream); });
 }
 
 HandoverServer::Hooks DispatchTier::serverHooks()
--- a/libs/gateway/src/dispatcher_link.cpp
+++ b/libs/gateway/src/dispatcher_link.cpp
@@ -24,9 +24,11 @@
 
 } // namespace
 
-DispatcherLink::DispatcherLink(boost::asio::io_context& ioContext, Dispatcher dispatcher)
+DispatcherLink::DispatcherLink(
+    boost::asio::io_context& ioContext, Dispatcher dispatcher, LeavingHandler upstreamLeaving)
     : ioContext_(ioContext)
     , dispatcher_(std::move(dispatcher))
+    , upstreamLeaving_(std::move(upstreamLeaving))
     , roundTrip_(initialRoundTrip)
 {
 }
--- a/libs/gateway/src/dispatcher_link.h
+++ b/libs/gateway/src/dispatcher_link.h
@@ -44,7 +44,10 @@
  */
 class DispatcherLink : public std::enable_shared_from_this<DispatcherLink> {
 public:
-    DispatcherLink(boost::asio::io_context& ioContext, Dispatcher dispatcher);
+    using LeavingHandler = std::function<void(const handover::UpstreamLeaving&)>;
+
+    /** @param upstreamLeaving called when the dispatcher tells that a replica is leaving */
+    DispatcherLink(boost::asio::io_context& ioContext, Dispatcher dispatcher, LeavingHandler upstreamLeaving);
 
     /** Connects or reconnects, queries an unresponsive dispatcher and closes a silent connection; call about
      * every 100 ms. */
@@ -83,6 +86,7 @@
     void handle(const handover::Decline& decline, TimePoint now);
     void handle(handover::Answer& answer, TimePoint now);
     void handle(const handover::Status& status, TimePoint now);
+    void handle(const handover::UpstreamLeaving& leaving, TimePoint) { upstreamLeaving_(leaving); }
     /** Frames that only ingress VMs send. */
     template <typename Other> void handle(const Other&, TimePoint) { closeConnection(); }
     void handleClosed();
@@ -90,6 +94,7 @@
 
     boost::asio::io_context& ioContext_;
     const Dispatcher dispatcher_;
+    const LeavingHandler upstreamLeaving_;
     std::shared_ptr<FrameConnection> connection_;
     std::shared_ptr<boost::asio::ip::tcp::socket> connecting_;
     TimePoint connectStartedAt_ {};
--- a/libs/gateway/src/dispatcher_pool.cpp
+++ b/libs/gateway/src/dispatcher_pool.cpp
@@ -22,8 +22,9 @@
     for (const auto& dispatcher : dispatchers_) {
         const auto known = std::find_if(
             links_.begin(), links_.end(), [&](const auto& link) { return link->dispatcher() == dispatcher; });
-        links.push_back(
-            known != links_.end() ? *known : std::make_shared<DispatcherLink>(ioContext_, dispatcher));
+        links.push_back(known != links_.end()
+                ? *known
+                : std::make_shared<DispatcherLink>(ioContext_, dispatcher, upstreamLeaving_));
     }
     std::copy_if(links_.begin(), links_.end(), std::back_inserter(retired_),
         [&](const auto& link) { return std::find(links.begin(), links.end(), link) == links.end(); });
--- a/libs/gateway/src/dispatcher_pool.h
+++ b/libs/gateway/src/dispatcher_pool.h
@@ -14,8 +14,10 @@
 /** An ingress VM's links to the dispatchers of its availability zone. Not thread-safe. */
 class DispatcherPool {
 public:
-    explicit DispatcherPool(boost::asio::io_context& ioContext)
+    /** @param upstreamLeaving called when a dispatcher tells that a replica is leaving */
+    DispatcherPool(boost::asio::io_context& ioContext, DispatcherLink::LeavingHandler upstreamLeaving)
         : ioContext_(ioContext)
+        , upstreamLeaving_(std::move(upstreamLeaving))
     {
     }
     ~DispatcherPool();
@@ -43,6 +45,7 @@
 
 private:
     boost::asio::io_context& ioContext_;
+    const DispatcherLink::LeavingHandler upstreamLeaving_;
     std::vector<Dispatcher> dispatchers_;
     std::vector<std::shared_ptr<DispatcherLink>> links_;
     /** Links to former dispatchers that still have requests to answer. */
--- a/libs/gateway/src/handover_server.cpp
+++ b/libs/gateway/src/handover_server.cpp
@@ -31,6 +31,8 @@
 /** A connection on which the ingress VM sends nothing for this long is dead: it sends a query every few
  * seconds. */
 constexpr Duration maxIngressSilence = std::chrono::seconds(20);
+/** Replicas that are leaving and are announced to ingress VMs that connect. */
+constexpr std::size_t maxAnnounced = 500;
 /** CPU time of sending one sub-request and reading its response, as gateway_benchmark reports it. */
 constexpr Duration subRequestCpuTime = std::chrono::microseconds(20);
 constexpr Duration utilizationInterval = std::chrono::seconds(1);
@@ -62,6 +64,8 @@
         connection_
             = std::make_shared<FrameConnection>(std::move(socket_), maxRequestFrameBytes, std::move(hooks));
         connection_->start(now);
+        for (const auto& [upstream, leaving] : server_.leaving_)
+            send(leaving);
     }
 
     void send(const handover::Frame& frame) { connection_->send(frame); }
@@ -214,6 +218,18 @@
     });
 }
 
+void HandoverServer::announceLeaving(const upstreams::UpstreamRecord& upstream)
+{
+    // Ingress VMs that connect later learn of older ones from the store.
+    if (leaving_.size() >= maxAnnounced)
+        leaving_.clear();
+    const handover::UpstreamLeaving leaving { upstream.id, upstream.startedAtUnixMillis };
+    leaving_[upstream.id] = leaving;
+    const auto sessions = sessions_;
+    for (const auto& session : sessions)
+        session->send(leaving);
+}
+
 handover::Status HandoverServer::status(TimePoint now)
 {
     handover::Status status;
--- a/libs/gateway/src/handover_server.h
+++ b/libs/gateway/src/handover_server.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <unordered_set>
@@ -32,6 +33,8 @@
     bool listen(const ListenAddress& address, Error& reason);
     /** Sends changes of the status and signs of life, closes silent connections; call about every 100 ms. */
     void tick(TimePoint now);
+    /** Tells the ingress VMs that a replica is leaving, also those that connect later. */
+    void announceLeaving(const upstreams::UpstreamRecord& upstream);
     /** Number of requests that have begun and are not answered. */
     std::size_t pendingRequests() const { return pendingRequests_; }
     /** Fraction of this VM's processors that its sends use, 0 to 1. */
@@ -48,6 +51,8 @@
     const Hooks hooks_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::unordered_set<std::shared_ptr<Session>> sessions_;
+    /** What was announced, by replica. */
+    std::map<UpstreamId, handover::UpstreamLeaving> leaving_;
     std::size_t pendingRequests_ = 0;
     double utilization_ = 0;
     std::uint64_t countedSubRequests_ = 0;
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -115,6 +115,8 @@
             { "address", upstream.record.address + ":" + std::to_string(upstream.record.port) },
             { "zone", upstream.record.zone.str() }, { "sequence", std::to_string(upstream.record.sequence) },
             { "started_ms", std::to_string(upstream.record.startedAtUnixMillis) } });
+    if (event == upstreams::RegistryEvent::Leaving && upstreamLeaving_)
+        upstreamLeaving_(upstream.record);
 }
 
 UpstreamPool& TrafficManager::pool(const upstreams::UpstreamPointer& upstream)
--- a/libs/gateway/src/traffic_manager.h
+++ b/libs/gateway/src/traffic_manager.h
@@ -16,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -124,6 +125,12 @@
     const std::set<VmId>& dispatchers() const { return dispatchers_; }
     bool isDispatcher() const { return dispatchers_.contains(settings_.vm); }
 
+    /** @param handler called when a replica has said, to this VM or a dispatcher, that it is leaving */
+    void onUpstreamLeaving(std::function<void(const upstreams::UpstreamRecord&)> handler)
+    {
+        upstreamLeaving_ = std::move(handler);
+    }
+
     /** Records that another VM uses a configuration, so that this one does not fall behind it. */
     void setNewestVersionSeen(ConfigVersion version)
     {
@@ -186,6 +193,7 @@
     std::uniform_real_distribution<double> uniform_ { 0, 1 };
     ReachTracker reach_;
     std::set<VmId> dispatchers_;
+    std::function<void(const upstreams::UpstreamRecord&)> upstreamLeaving_;
     ConfigVersion newestVersionSeen_;
     TimePoint lastTickAt_ {};
     /** Nothing is sent to cold replicas before this time. */
--- a/libs/gateway/tests/test_handover.cpp
+++ b/libs/gateway/tests/test_handover.cpp
@@ -60,6 +60,26 @@
     BOOST_TEST(std::stoi(fleet.replicaOfLedger->deadlines().back()) <= 5000);
 }
 
+// Guards against a request of the ingress VM to a replica of which it has passed on that it is leaving.
+BOOST_AUTO_TEST_CASE(ingressVmKnowsWhatLeavingReplicaToldTheDispatcher)
+{
+    HandoverFixture fleet([](const http::RequestHead& head, const std::string&) {
+        auto response = GatewayFixture::signedResponse(head, "sig", "data");
+        if (head.target == "/credit/last")
+            response.insert(response.find("\r\n") + 2, "Leaving: 1\r\n");
+        return FakeResponse { response };
+    });
+    fleet.waitUntilHandingOver(*fleet.ingress);
+    BOOST_TEST(fleet.call(*fleet.ingress, GatewayFixture::request("/credit/last", "id-1")).status == 200U);
+    fleet.runFor(50ms);
+    const auto received = fleet.replicaOfLedger->receivedRequests();
+    // The ingress VM sends itself.
+    fleet.dispatcher->isFrozen = true;
+    BOOST_TEST(fleet.call(*fleet.ingress, GatewayFixture::request("/credit/2", "id-2")).status == 503U);
+    BOOST_TEST(fleet.metric(*fleet.ingress, "banyancroft_handover_sent_directly_total") == 1);
+    BOOST_TEST(fleet.replicaOfLedger->receivedRequests() == received);
+}
+
 // A dispatcher is suspended with connections open: the request is served at once by the ingress VM, and does
 // not run again when the dispatcher wakes up.
 BOOST_AUTO_TEST_CASE(frozenDispatcherDelaysRequestsByOneTimeout)
--- a/libs/handover/include/handover/frames.h
+++ b/libs/handover/include/handover/frames.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "base/ids.h"
 #include "base/time.h"
 #include "http/message_writer.h"
 
@@ -88,7 +89,15 @@
 
 struct StatusQuery { };
 
-using Frame = std::variant<Offer, Acceptance, Decline, Begin, Answer, Cancel, Status, StatusQuery>;
+/** A replica has told the dispatcher that it is leaving; sent at once, and on connect if it was before. */
+struct UpstreamLeaving {
+    UpstreamId upstream;
+    /** Identifies the run of the replica: its start in Unix ms, as registered. */
+    std::uint64_t startedAtUnixMillis = 0;
+};
+
+using Frame
+    = std::variant<Offer, Acceptance, Decline, Begin, Answer, Cancel, Status, StatusQuery, UpstreamLeaving>;
 
 /** Encodes a frame as its length in four bytes, most significant first, followed by a MessagePack array. */
 std::string encode(const Frame& frame);
--- a/libs/handover/src/frames.cpp
+++ b/libs/handover/src/frames.cpp
@@ -25,6 +25,7 @@
     Cancel,
     Status,
     StatusQuery,
+    UpstreamLeaving,
 };
 
 template <typename... Values> Json message(FrameType type, Values&&... values)
@@ -73,6 +74,11 @@
 
 Json toJson(const StatusQuery&) { return message(FrameType::StatusQuery); }
 
+Json toJson(const UpstreamLeaving& leaving)
+{
+    return message(FrameType::UpstreamLeaving, leaving.upstream.str(), leaving.startedAtUnixMillis);
+}
+
 Duration micros(const Json& json)
 {
     constexpr std::int64_t maxMicros = std::int64_t { 24 } * 3600 * 1000 * 1000;
@@ -130,6 +136,8 @@
         return parseStatus(json);
     case FrameType::StatusQuery:
         return StatusQuery {};
+    case FrameType::UpstreamLeaving:
+        return UpstreamLeaving { UpstreamId(json.at(1).get<std::string>()), json.at(2) };
     }
     throw std::invalid_argument("unknown frame type");
 }
--- a/libs/handover/tests/test_frames.cpp
+++ b/libs/handover/tests/test_frames.cpp
@@ -19,7 +19,8 @@
     Status status { true, 1500ms, 0.25 };
     return { Offer { 7, 12, "GET / HTTP/1.1\r\n\r\n" }, Acceptance { 7, 13 },
         Decline { 7, DeclineReason::OlderConfiguration, 11 }, Begin { 7, 12ms, 2ms, true },
-        Answer { 7, response }, Cancel { 7 }, status, Status {}, StatusQuery {} };
+        Answer { 7, response }, Cancel { 7 }, status, Status {}, StatusQuery {},
+        UpstreamLeaving { UpstreamId("r-1"), 1788649863330 } };
 }
 
 } // namespace
--- a/libs/upstreams/include/upstreams/registry.h
+++ b/libs/upstreams/include/upstreams/registry.h
@@ -85,6 +85,9 @@
      * sets the end of the cold phase; later entries only extend it.
      */
     void applyStatement(const UpstreamPointer& upstream, const ReplicaStatement& statement, TimePoint now);
+    /** Another VM has heard that a run of a replica is leaving; does nothing if that run is not registered
+     * here. */
+    void applyLeaving(const UpstreamId& id, std::uint64_t startedAtUnixMillis, TimePoint now);
     /** The store answers again after an outage. */
     void storeRecovered(TimePoint now);
     /** Applies the deferred removals once the grace period is over; to be called about once a second. */
--- a/libs/upstreams/src/registry.cpp
+++ b/libs/upstreams/src/registry.cpp
@@ -223,6 +223,16 @@
     impl_->applyStatement(upstream, statement, now);
 }
 
+void Registry::applyLeaving(const UpstreamId& id, std::uint64_t startedAtUnixMillis, TimePoint now)
+{
+    const auto found = impl_->byId_.find(id.str());
+    if (found == impl_->byId_.end() || found->second->record.startedAtUnixMillis != startedAtUnixMillis)
+        return;
+    ReplicaStatement statement;
+    statement.leaving = true;
+    impl_->applyStatement(found->second, statement, now);
+}
+
 void Registry::storeRecovered(TimePoint now) { impl_->graceUntil_ = now + impl_->recoveryGrace_; }
 
 void Registry::applyDeferredRemovals(TimePoint now) { impl_->applyDeferredRemovals(now); }
