Identify customers by API key and name them to replicas

Cause: the gateway ignored the customers of a configuration. It passed API keys on to replicas, named no customer and ran requests without a valid key.

Change: customers and keys are decoded from the configuration and found by hash (RouteTable::customerOfKey()). A request on a route that is not public needs the key of a customer; without one it is rejected with 401, or with 503 while a newer configuration is known to be in force. Replicas receive the customer's name, never the key, whatever the caller sent in these fields. A dispatcher judges the key again by its own configuration. Without customers nothing changes: fields are forwarded as before.

--- a/libs/base/include/base/ids.h
+++ b/libs/base/include/base/ids.h
@@ -50,6 +50,8 @@
 using VmId = StringId<struct VmTag>;
 using AvailabilityZone = StringId<struct AvailabilityZoneTag>;
 using RegionId = StringId<struct RegionTag>;
+/** A customer of the operators, whose callers share API keys and limits. */
+using CustomerId = StringId<struct CustomerTag>;
 using ServiceId = StringId<struct ServiceTag>;
 using GroupId = StringId<struct GroupTag>;
 using ShardId = StringId<struct ShardTag>;
--- a/libs/gateway/include/gateway/dialect.h
+++ b/libs/gateway/include/gateway/dialect.h
@@ -34,11 +34,17 @@
     std::string missingParts;
     /** "1" in the responses of an upstream that is shutting down. */
     std::string leaving;
+    /** Carries the API key of a caller; never sent to upstreams if the configuration has customers. */
+    std::string authorization;
+    /** Name of the customer, which the gateway sets on requests to upstreams. */
+    std::string customer;
 };
 
 /** Platform-specific names and formats in the HTTP messages of callers and upstreams. */
 struct Dialect {
     HeaderNames headers;
+    /** Authentication scheme before the API key; matched without regard to case. */
+    std::string keyScheme;
     /** URL path of the readiness probe. */
     std::string readyPath;
     /** Parses the value of the load field; returns nullopt if the value is malformed. */
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -309,6 +309,11 @@
             { { "version", std::to_string(version.value) },
                 { "in_force", std::to_string(traffic_.configuration().version().value) },
                 { "revision", std::to_string(revision.value) } });
+        if (accepted && traffic_.configuration().current()->sharedKeys() > 0)
+            log(LogLevel::Warn, "configuration",
+                "several customers hold the same API keys; the first customer of each key is used",
+                { { "version", std::to_string(version.value) },
+                    { "keys", std::to_string(traffic_.configuration().current()->sharedKeys()) } });
         if (accepted)
             callerListener_.setLimits(
                 { limits.headerBytes, limits.bodyBytes }, { limits.headerTimeout, limits.idleTimeout });
--- a/libs/gateway/src/handover_runner.cpp
+++ b/libs/gateway/src/handover_runner.cpp
@@ -4,6 +4,8 @@
 #include "request_runner.h"
 
 #include <algorithm>
+#include <array>
+#include <span>
 
 namespace banyancroft::gateway {
 
@@ -118,8 +120,14 @@
     plan_.offered(now);
     traffic.metrics().offers.add();
     const auto version = std::max(traffic.configuration().version(), traffic.newestVersionSeen());
+    // The dispatcher identifies the customer again, also if the caller lists the field in Connection.
+    const auto& authorization = traffic.dialect().headers.authorization;
+    const auto credentials = routed_.customer ? head_.fields.find(authorization) : std::nullopt;
+    const std::array<http::Field, 1> kept { http::Field { authorization, credentials.value_or("") } };
     number_ = link_->offer(version.value,
-        http::serialiseRequest(head_.method, head_.target, head_.fields, {}, body_), linkHooks(), now);
+        http::serialiseRequest(
+            head_.method, head_.target, head_.fields, std::span(kept).first(credentials ? 1 : 0), body_),
+        linkHooks(), now);
 }
 
 HandoverHooks HandoverRunner::linkHooks()
--- a/libs/gateway/src/local_responses.h
+++ b/libs/gateway/src/local_responses.h
@@ -7,6 +7,7 @@
 namespace banyancroft::gateway {
 
 constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusUnauthorized = 401;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusBadGateway = 502;
 constexpr unsigned statusUnavailable = 503;
--- a/libs/gateway/src/request_routing.cpp
+++ b/libs/gateway/src/request_routing.cpp
@@ -1,5 +1,6 @@
 #include "request_routing.h"
 
+#include "authentication.h"
 #include "local_responses.h"
 
 namespace banyancroft::gateway {
@@ -28,6 +29,16 @@
         return reject(unavailableResponse(names, configurationRetryAfter), "newer configuration is in force");
     if (!routed.route)
         return reject(emptyResponse(statusNotFound), "no route for host and path");
+    const auto caller = identifyCaller(request.head.fields, *routed.routes, *routed.route, traffic.dialect());
+    if (!caller.isAllowed && traffic.isConfigurationOutdated())
+        return reject(unavailableResponse(names, configurationRetryAfter), "newer configuration is in force");
+    if (!caller.isAllowed) {
+        traffic.metrics().unauthorized.add();
+        return reject(emptyResponse(statusUnauthorized), "API key is missing or unknown");
+    }
+    routed.customer = caller.customer;
+    routed.priority
+        = caller.customer && caller.customer->priority ? *caller.customer->priority : routed.route->priority;
     if (routed.requestId.empty())
         return reject(emptyResponse(statusBadRequest), "request id is missing");
     const auto deadlineText = request.head.fields.find(names.deadlineMillis);
--- a/libs/gateway/src/request_routing.h
+++ b/libs/gateway/src/request_routing.h
@@ -17,6 +17,10 @@
 struct RoutedRequest {
     std::shared_ptr<const routing::RouteTable> routes;
     const routing::Route* route = nullptr;
+    /** Null if the request belongs to no customer. */
+    const routing::Customer* customer = nullptr;
+    /** Priority of the customer or, without one, of the route. */
+    unsigned priority = 0;
     std::string requestId;
     /** Time limit that the caller set for this attempt. */
     Duration deadline {};
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -56,6 +56,7 @@
     , returnDelay_(request.returnDelay)
     , routes_(std::move(routed.routes))
     , route_(*routed.route)
+    , customer_(routed.customer)
     , history_(traffic.history(route_.name))
     , deadline_(routed.deadline)
     , timer_(traffic.ioContext())
@@ -305,9 +306,14 @@
     const auto remaining = std::max<Duration>(plan_->rules().deadline - now, std::chrono::milliseconds(1));
     const auto millis
         = std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count());
-    const std::array<http::Field, 2> replaced { http::Field { names.deadlineMillis, millis },
-        http::Field { names.expectedUpstream, upstream.record.id.view() } };
-    return http::serialiseRequest(head_.method, head_.target, head_.fields, replaced, body_);
+    const std::array<http::Field, 3> fields { http::Field { names.deadlineMillis, millis },
+        http::Field { names.expectedUpstream, upstream.record.id.view() },
+        http::Field { names.customer, customer_ ? customer_->id.view() : std::string_view() } };
+    const auto replaced = std::span(fields).first(customer_ ? 3 : 2);
+    // Replicas see neither API keys nor a customer that the caller has named itself.
+    const std::array<std::string_view, 2> secrets { names.authorization, names.customer };
+    const auto removed = std::span(secrets).first(routes_->configuration().requiresKeys ? secrets.size() : 0);
+    return http::serialiseRequest(head_.method, head_.target, head_.fields, replaced, body_, removed);
 }
 
 void RequestRunner::sendOnConnection(
@@ -451,7 +457,8 @@
     finished_ = true;
     timer_.cancel();
     traffic_.requestLog().logOutcome(now, "request ended",
-        { { "id", requestId_ }, { "route", route_.name }, { "outcome", std::string(outcome) },
+        { { "id", requestId_ }, { "route", route_.name },
+            { "customer", customer_ ? customer_->id.str() : "none" }, { "outcome", std::string(outcome) },
             { "status", std::to_string(response.status) }, { "elapsed_ms", formatMillis(now - arrivedAt_) },
             { "parts", std::to_string(plan_ ? plan_->partsReceived() : 0) },
             { "shards", std::to_string(shardResults_.size()) }, { "open", describeOpenSends(now) },
--- a/libs/gateway/src/request_runner.h
+++ b/libs/gateway/src/request_runner.h
@@ -70,6 +70,7 @@
     const Duration returnDelay_;
     std::shared_ptr<const routing::RouteTable> routes_;
     const routing::Route& route_;
+    const routing::Customer* const customer_;
     RouteHistory& history_;
     /** Time limit that the caller set for this attempt. */
     const Duration deadline_;
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -57,6 +57,8 @@
     , served(metrics.counter("banyancroft_gateway_served_total", "Requests answered with a success"))
     , partial(metrics.counter("banyancroft_gateway_partial_total", "Successes that lack shards"))
     , refused(metrics.counter("banyancroft_gateway_refused_total", "Requests refused as not run"))
+    , unauthorized(metrics.counter(
+          "banyancroft_gateway_unauthorized_total", "Requests without a valid API key, answered with 401"))
     , failed(metrics.counter("banyancroft_gateway_failed_total", "Requests that failed and may have run"))
     , callersGone(metrics.counter("banyancroft_gateway_callers_gone_total", "Callers that left early"))
     , subRequests(metrics.counter("banyancroft_gateway_sub_requests_total", "Requests sent to replicas"))
--- a/libs/gateway/src/traffic_manager.h
+++ b/libs/gateway/src/traffic_manager.h
@@ -37,6 +37,7 @@
     telemetry::Counter& served;
     telemetry::Counter& partial;
     telemetry::Counter& refused;
+    telemetry::Counter& unauthorized;
     telemetry::Counter& failed;
     telemetry::Counter& callersGone;
     telemetry::Counter& subRequests;
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -196,7 +196,8 @@
         : store(ioContext)
     {
         dialect.headers = { "Request-Id", "Deadline", "Signature", "Expect", "Load", "Not-Run", "Retry-After",
-            "Upstream", "Cold", "Parts", "Lacking", "Leaving" };
+            "Upstream", "Cold", "Parts", "Lacking", "Leaving", "Authorization", "Customer" };
+        dialect.keyScheme = "Token";
         dialect.readyPath = "/ready";
         dialect.parseLoad = [](std::string_view) { return std::optional<upstreams::ReportedLoad>(); };
         settings.vm = VmId("vm-1");
--- a/libs/gateway/tests/test_decisions.cpp
+++ b/libs/gateway/tests/test_decisions.cpp
@@ -21,7 +21,7 @@
 {
     Dialect dialect;
     dialect.headers = { "Request-Id", "Deadline", "Signature", "Expect", "Load", "Not-Run", "Retry-After",
-        "Upstream", "Cold", "Parts", "Lacking", "Leaving" };
+        "Upstream", "Cold", "Parts", "Lacking", "Leaving", "Authorization", "Customer" };
     return dialect;
 }
 
--- a/libs/http/include/http/message_writer.h
+++ b/libs/http/include/http/message_writer.h
@@ -27,9 +27,10 @@
  * Serialises a request for an upstream: method, target, body and end-to-end fields as the caller sent
  * them, with some fields replaced.
  * @param replaced fields that are sent instead of the caller's fields of the same name
+ * @param removed names of the caller's fields that are not sent
  */
 std::string serialiseRequest(std::string_view method, std::string_view target, const FieldList& fields,
-    std::span<const Field> replaced, std::string_view body);
+    std::span<const Field> replaced, std::string_view body, std::span<const std::string_view> removed = {});
 
 /** Reason phrase of RFC 9110 for a status; "Unknown" for others. */
 std::string_view reasonPhrase(unsigned status);
--- a/libs/http/src/message_writer.cpp
+++ b/libs/http/src/message_writer.cpp
@@ -31,7 +31,7 @@
 }
 
 std::string serialiseRequest(std::string_view method, std::string_view target, const FieldList& fields,
-    std::span<const Field> replaced, std::string_view body)
+    std::span<const Field> replaced, std::string_view body, std::span<const std::string_view> removed)
 {
     std::string text;
     constexpr std::size_t typicalHeadBytes = 512;
@@ -45,7 +45,10 @@
         hadBody = hadBody || isContentLength;
         const bool isReplaced = std::any_of(replaced.begin(), replaced.end(),
             [&](const Field& entry) { return equalsIgnoringCase(entry.name, field.name); });
-        if (isContentLength || isReplaced || isHopByHop(field.name) || isConnectionOption(fields, field.name))
+        const bool isRemoved = std::any_of(removed.begin(), removed.end(),
+            [&](std::string_view name) { return equalsIgnoringCase(name, field.name); });
+        if (isContentLength || isReplaced || isRemoved || isHopByHop(field.name)
+            || isConnectionOption(fields, field.name))
             continue;
         text.append(field.name).append(": ").append(field.value).append("\r\n");
     }
--- a/libs/routing/include/routing/configuration.h
+++ b/libs/routing/include/routing/configuration.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,8 @@
     unsigned maxUpstreams = 1;
     /** 0 is the highest priority. */
     unsigned priority = 0;
+    /** Needs no API key, even if the configuration has customers. */
+    bool isPublic = false;
     /** Empty for a scatter-gather route. */
     std::vector<WeightedService> split;
     /** Has no shards for a route to single replicas. */
@@ -62,6 +65,19 @@
     double coldRequestsPerSecond = 0;
 };
 
+/** A customer, whose callers identify themselves by API keys and share a rate limit. */
+struct Customer {
+    CustomerId id;
+    /** Secrets: they must not appear in logs, metrics or errors. */
+    std::vector<std::string> keys;
+    /** Takes precedence over the priority of the route; 0 is the highest. */
+    std::optional<unsigned> priority;
+    /** Rate limit over all VMs together; zero means no limit. */
+    double requestsPerSecond = 0;
+    /** Requests that may exceed the rate at once. */
+    double burst = 0;
+};
+
 /** Size limits and timeouts for requests of callers. */
 struct CallerLimits {
     std::size_t headerBytes = 16 * 1024;
@@ -75,6 +91,9 @@
     ConfigVersion version;
     std::vector<Route> routes;
     std::vector<Service> services;
+    /** True: requests need an API key, except those of public routes. */
+    bool requiresKeys = false;
+    std::vector<Customer> customers;
     CallerLimits limits;
 };
 
--- a/libs/routing/include/routing/route_table.h
+++ b/libs/routing/include/routing/route_table.h
@@ -2,6 +2,7 @@
 
 #include "routing/configuration.h"
 
+#include <cstddef>
 #include <memory>
 #include <string_view>
 
@@ -25,6 +26,11 @@
     const Configuration& configuration() const;
     /** @return nullptr when the service is not declared */
     const Service* service(const ServiceId& id) const;
+    /** @return nullptr when no customer holds the key */
+    const Customer* customerOfKey(std::string_view key) const;
+    /** Number of keys that more than one customer holds; the first customer in the configuration keeps them.
+     */
+    std::size_t sharedKeys() const;
 
 private:
     class Impl;
--- a/libs/routing/src/route_table.cpp
+++ b/libs/routing/src/route_table.cpp
@@ -28,12 +28,20 @@
             routes_.emplace(normalisedHost(route.host) + route.pathPrefix, &route);
         for (const auto& service : configuration_.services)
             services_.emplace(service.id.str(), &service);
+        for (const auto& customer : configuration_.customers) {
+            for (const auto& key : customer.keys) {
+                const auto [held, isNew] = customersByKey_.emplace(key, &customer);
+                sharedKeys_ += !isNew && held->second != &customer;
+            }
+        }
     }
 
     Configuration configuration_;
     /** Key: host followed by the path prefix. */
     StringMap<const Route*> routes_;
     StringMap<const Service*> services_;
+    StringMap<const Customer*> customersByKey_;
+    std::size_t sharedKeys_ = 0;
 };
 
 RouteTable::RouteTable(Configuration configuration)
@@ -67,6 +75,14 @@
     return found == impl_->services_.end() ? nullptr : found->second;
 }
 
+const Customer* RouteTable::customerOfKey(std::string_view key) const
+{
+    const auto found = impl_->customersByKey_.find(key);
+    return found == impl_->customersByKey_.end() ? nullptr : found->second;
+}
+
+std::size_t RouteTable::sharedKeys() const { return impl_->sharedKeys_; }
+
 const ServiceId* pickService(const Route& route, double randomValue)
 {
     double total = 0;
--- a/libs/routing/tests/test_route_table.cpp
+++ b/libs/routing/tests/test_route_table.cpp
@@ -90,3 +90,20 @@
     // A request in progress keeps using the table that it started with.
     BOOST_TEST(serviceFor(*earlierTable, "a", "/") == "seven");
 }
+
+// Guards against a request that is served for a customer that does not hold its key.
+BOOST_AUTO_TEST_CASE(customerIsFoundByAnyOfItsKeys)
+{
+    auto configuration = configurationOfVersion(1, {});
+    configuration.customers.push_back({ CustomerId("a"), { "k1", "k2", "k2" }, {}, 0, 0 });
+    configuration.customers.push_back({ CustomerId("b"), { "k3", "k1" }, {}, 0, 0 });
+    const RouteTable table(std::move(configuration));
+    BOOST_REQUIRE(table.customerOfKey("k2"));
+    BOOST_TEST(table.customerOfKey("k2")->id.str() == "a");
+    BOOST_TEST(table.customerOfKey("k3")->id.str() == "b");
+    // A key that two customers hold belongs to the first one.
+    BOOST_TEST(table.customerOfKey("k1")->id.str() == "a");
+    BOOST_TEST(table.sharedKeys() == 1U);
+    BOOST_TEST(!table.customerOfKey("K1"));
+    BOOST_TEST(!table.customerOfKey(""));
+}
