Hold customers to their rate limit over all VMs

Cause: limits of customers were not read.

Change: a new library libs/quota. One dispatcher, the owner by rendezvous hashing, holds the token bucket of a customer; the VM that runs a request asks it over the connections of the dispatch tier. Another VM stands in for an owner that cannot be reached, both sides of a cut use their share of the rate, a new owner starts with a small part of the tolerance and the shares of those that ask it, and a VM that can ask nobody has an equal share. Each VM may start one request of a customer before the owner answers, so that customers within their limit do not wait. Of a customer over its limit, the requests that can still be in time get the credit first; the others get 429 with the time of the next credit.

--- a/libs/gateway/include/gateway/settings.h
+++ b/libs/gateway/include/gateway/settings.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "dispatch/retry_budget.h"
+#include "quota/rate_limit.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -44,6 +45,8 @@
 
     /** Limit on retries across all VMs. */
     dispatch::RetryLimit retries;
+    /** How far the requests of a customer may exceed its limit, over all VMs. */
+    quota::LimitBounds customerLimits;
     /** Factor applied to the declared request rate of a cold upstream; bounds the sum over all VMs. */
     double coldOvershoot = 1;
     /** Requests per second that a cold upstream may receive on top of that. */
--- a/libs/gateway/src/dispatch_tier.cpp
+++ b/libs/gateway/src/dispatch_tier.cpp
@@ -33,9 +33,13 @@
                   leaving.upstream, leaving.startedAtUnixMillis, BootClock::now());
           })
     , server_(traffic, serverHooks())
+    , creditGate_(traffic, members,
+          { [this] { return isDispatching(); }, [this] { return hooks_.isStopping(); },
+              [this] { return registration_.lapses(); }, [this] { return hooks_.viewCurrentAt(); } })
     , context_ { traffic, dispatchers_,
         [this](const VmId& dispatcher) { hooks_.fetchConfiguration(dispatcher); } }
 {
+    traffic_.setCreditGate(&creditGate_);
     traffic_.onUpstreamLeaving(
         [this](const upstreams::UpstreamRecord& upstream) { server_.announceLeaving(upstream); });
 }
@@ -53,6 +57,10 @@
         return std::nullopt;
     };
     hooks.configurationOutdated = [this] { hooks_.fetchConfiguration(std::nullopt); };
+    hooks.creditRequested = [this](const handover::CreditRequest& request) {
+        return creditGate_.answer(request, BootClock::now());
+    };
+    hooks.creditReturned = [this](const CustomerId& customer) { creditGate_.handleReturn(customer); };
     return hooks;
 }
 
@@ -68,6 +76,7 @@
 void DispatchTier::tick(TimePoint now)
 {
     update(now);
+    creditGate_.tick(now);
     if (!handsOver())
         return;
     dispatchers_.tick(now);
--- a/libs/gateway/src/dispatch_tier.h
+++ b/libs/gateway/src/dispatch_tier.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "credit_gate.h"
 #include "dispatcher_pool.h"
 #include "handover/dispatch_role.h"
 #include "handover_runner.h"
@@ -22,6 +23,8 @@
         /** True once the replicas and dispatchers are known. */
         std::function<bool()> hasListing;
         std::function<bool()> isStopping;
+        /** Latest time at which the view is known to have matched the store. */
+        std::function<TimePoint()> viewCurrentAt;
         /** Fetches the newest configuration, from the given VM if it is known to have one. */
         std::function<void(const std::optional<VmId>& from)> fetchConfiguration;
     };
@@ -59,6 +62,7 @@
     handover::DispatchRole role_;
     DispatcherPool dispatchers_;
     HandoverServer server_;
+    CreditGate creditGate_;
     HandoverContext context_;
 };
 
--- a/libs/gateway/src/dispatcher_link.cpp
+++ b/libs/gateway/src/dispatcher_link.cpp
@@ -126,10 +126,33 @@
     unresponsiveSince_.reset();
     nextConnectAt_ = BootClock::now() + reconnectPause;
     const auto lost = std::exchange(pending_, {});
+    const auto questions = std::exchange(creditQuestions_, {});
     log(LogLevel::Info, "handover", "connection to dispatcher closed",
         { { "dispatcher", dispatcher_.vm.str() }, { "requests", std::to_string(lost.size()) } });
     for (const auto& [number, request] : lost)
         request.hooks.lost();
+    for (const auto& [number, handler] : questions)
+        handler(std::nullopt);
+}
+
+std::uint64_t DispatcherLink::askCredit(handover::CreditRequest request, CreditHandler handler)
+{
+    request.number = ++lastNumber_;
+    creditQuestions_.emplace(request.number, std::move(handler));
+    connection_->send(request);
+    return request.number;
+}
+
+void DispatcherLink::returnCredit(const CustomerId& customer)
+{
+    if (connection_)
+        connection_->send(handover::CreditReturn { customer });
+}
+
+void DispatcherLink::query()
+{
+    if (connection_)
+        connection_->send(handover::StatusQuery {});
 }
 
 std::uint64_t DispatcherLink::offer(
@@ -190,6 +213,16 @@
     hooks.declined(decline);
 }
 
+void DispatcherLink::handle(const handover::CreditReply& reply, TimePoint)
+{
+    const auto found = creditQuestions_.find(reply.number);
+    if (found == creditQuestions_.end())
+        return;
+    const auto handler = std::move(found->second);
+    creditQuestions_.erase(found);
+    handler(reply);
+}
+
 void DispatcherLink::handle(handover::Answer& answer, TimePoint)
 {
     const auto found = pending_.find(answer.number);
--- a/libs/gateway/src/dispatcher_link.h
+++ b/libs/gateway/src/dispatcher_link.h
@@ -61,6 +61,18 @@
     void begin(const handover::Begin& begin);
     /** Forgets the request and tells the dispatcher. */
     void cancel(std::uint64_t number);
+    /** Called with the reply, or without one if the connection was lost. */
+    using CreditHandler = std::function<void(const std::optional<handover::CreditReply>&)>;
+    /** Asks for credit; the number of the request is set here. @pre isConnected() @return number of the
+     * question, for forgetCredit() */
+    std::uint64_t askCredit(handover::CreditRequest request, CreditHandler handler);
+    /** Ignores the reply to a question. */
+    void forgetCredit(std::uint64_t number) { creditQuestions_.erase(number); }
+    void returnCredit(const CustomerId& customer);
+    /** Makes the dispatcher send a sign of life. */
+    void query();
+    bool isConnected() const { return connection_ != nullptr; }
+
     /** The offer was not accepted in time. */
     void offerTimedOut(TimePoint now);
 
@@ -86,6 +98,7 @@
     void handle(const handover::Decline& decline, TimePoint now);
     void handle(handover::Answer& answer, TimePoint now);
     void handle(const handover::Status& status, TimePoint now);
+    void handle(const handover::CreditReply& reply, TimePoint);
     void handle(const handover::UpstreamLeaving& leaving, TimePoint) { upstreamLeaving_(leaving); }
     /** Frames that only ingress VMs send. */
     template <typename Other> void handle(const Other&, TimePoint) { closeConnection(); }
@@ -101,6 +114,7 @@
     TimePoint nextConnectAt_ {};
     std::uint64_t lastNumber_ = 0;
     std::map<std::uint64_t, Pending> pending_;
+    std::map<std::uint64_t, CreditHandler> creditQuestions_;
     bool accepting_ = false;
     std::optional<TimePoint> cutOffSince_;
     double utilization_ = 0;
--- a/libs/gateway/src/dispatcher_pool.cpp
+++ b/libs/gateway/src/dispatcher_pool.cpp
@@ -57,6 +57,13 @@
     return index ? links_[*index] : nullptr;
 }
 
+std::shared_ptr<DispatcherLink> DispatcherPool::find(const VmId& vm) const
+{
+    const auto found = std::find_if(
+        links_.begin(), links_.end(), [&](const auto& link) { return link->dispatcher().vm == vm; });
+    return found == links_.end() ? nullptr : *found;
+}
+
 bool DispatcherPool::hasUsable() const
 {
     return std::any_of(links_.begin(), links_.end(), [](const auto& link) { return link->load().usable; });
--- a/libs/gateway/src/dispatcher_pool.h
+++ b/libs/gateway/src/dispatcher_pool.h
@@ -35,6 +35,9 @@
      */
     std::shared_ptr<DispatcherLink> choose(std::span<const std::shared_ptr<DispatcherLink>> excluded,
         const std::function<double()>& random) const;
+    const std::vector<std::shared_ptr<DispatcherLink>>& links() const { return links_; }
+    /** Link to one dispatcher; nullptr if it is not among them. */
+    std::shared_ptr<DispatcherLink> find(const VmId& vm) const;
     /** True if at least one dispatcher can be asked. */
     bool hasUsable() const;
     /** Earliest time since which at least half of the dispatchers that can be asked report to be cut off;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -161,6 +161,7 @@
         DispatchTier::Hooks hooks;
         hooks.hasListing = [this] { return hasListing_; };
         hooks.isStopping = [this] { return stop_.hasBegun(); };
+        hooks.viewCurrentAt = [this] { return sync_.view().currentAt(); };
         hooks.fetchConfiguration = [this](const std::optional<VmId>& from) {
             sync_.refresh(from ? members_.relayAddress(*from) : std::nullopt, BootClock::now());
         };
--- a/libs/gateway/src/handover_server.cpp
+++ b/libs/gateway/src/handover_server.cpp
@@ -144,6 +144,14 @@
     }
 
     void handle(const handover::StatusQuery&, TimePoint now) { send(server_.status(now)); }
+    void handle(const handover::CreditRequest& request, TimePoint)
+    {
+        send(server_.hooks_.creditRequested(request));
+    }
+    void handle(const handover::CreditReturn& credit, TimePoint)
+    {
+        server_.hooks_.creditReturned(credit.customer);
+    }
     /** Frames that only dispatchers send. */
     template <typename Other> void handle(const Other&, TimePoint) { close(); }
 
--- a/libs/gateway/src/handover_server.h
+++ b/libs/gateway/src/handover_server.h
@@ -22,6 +22,9 @@
         std::function<std::optional<handover::DeclineReason>()> whyDeclined;
         /** Called when another VM uses a newer configuration than this one. */
         std::function<void()> configurationOutdated;
+        /** Answers a VM that asks for a customer's credit. */
+        std::function<handover::CreditReply(const handover::CreditRequest&)> creditRequested;
+        std::function<void(const CustomerId&)> creditReturned;
     };
 
     HandoverServer(TrafficManager& traffic, Hooks hooks);
--- a/libs/gateway/src/local_responses.cpp
+++ b/libs/gateway/src/local_responses.cpp
@@ -25,6 +25,13 @@
     return response;
 }
 
+http::Response overLimitResponse(const HeaderNames& names, Duration retryAfter)
+{
+    auto response = emptyResponse(statusTooManyRequests);
+    response.fields.emplace_back(names.retryAfter, formatSeconds(retryAfter));
+    return response;
+}
+
 http::Response emptyResponse(unsigned status)
 {
     http::Response response;
--- a/libs/gateway/src/local_responses.h
+++ b/libs/gateway/src/local_responses.h
@@ -9,6 +9,7 @@
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusUnauthorized = 401;
 constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusTooManyRequests = 429;
 constexpr unsigned statusBadGateway = 502;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusGatewayTimeout = 504;
@@ -19,6 +20,9 @@
  */
 http::Response unavailableResponse(const HeaderNames& names, Duration retryAfter);
 
+/** Creates a 429 response for a request beyond its customer's limit, which no replica will execute. */
+http::Response overLimitResponse(const HeaderNames& names, Duration retryAfter);
+
 /** Creates a response without a body or header fields. */
 http::Response emptyResponse(unsigned status);
 
--- a/libs/gateway/src/membership.cpp
+++ b/libs/gateway/src/membership.cpp
@@ -91,15 +91,33 @@
 }
 
 std::vector<Dispatcher> MemberTracker::otherDispatchers(const AvailabilityZone& zone) const
+{
+    auto dispatchers = otherDispatchers();
+    std::erase_if(dispatchers,
+        [&](const auto& dispatcher) { return members_.find(dispatcher.vm)->second.record.zone != zone; });
+    return dispatchers;
+}
+
+std::vector<Dispatcher> MemberTracker::otherDispatchers() const
 {
     std::vector<Dispatcher> dispatchers;
     for (const auto& [vm, member] : members_) {
-        if (vm != self_ && isRegistered(vm) && member.record.zone == zone && member.record.handover.port != 0)
+        if (vm != self_ && isRegistered(vm) && member.record.handover.port != 0)
             dispatchers.push_back({ vm, member.record.handover, member.record.processors });
     }
     return dispatchers;
 }
 
+std::set<VmId> MemberTracker::registeredDispatchers() const
+{
+    std::set<VmId> vms;
+    for (const auto& [vm, member] : members_) {
+        if (isRegistered(vm) && member.record.handover.port != 0)
+            vms.insert(vm);
+    }
+    return vms;
+}
+
 std::size_t MemberTracker::dispatchersAhead(const AvailabilityZone& zone, double processors) const
 {
     const std::pair own { processors, rendezvousWeight(self_, zone.view()) };
@@ -209,6 +227,7 @@
                 log(LogLevel::Warn, "membership", "registration lease expired, registering again",
                     { { "lease", std::to_string(lease_.value) } });
                 lease_ = {};
+                ++lapses_;
                 return this->grantLease();
             }
             if (!grant) {
--- a/libs/gateway/src/membership.h
+++ b/libs/gateway/src/membership.h
@@ -44,6 +44,10 @@
     std::vector<ListenAddress> otherRelayAddresses() const;
     /** Other registered VMs of an availability zone that take over requests. */
     std::vector<Dispatcher> otherDispatchers(const AvailabilityZone& zone) const;
+    /** Other registered VMs that take over requests, in all availability zones. */
+    std::vector<Dispatcher> otherDispatchers() const;
+    /** All registered VMs that can be asked by others, this one included. */
+    std::set<VmId> registeredDispatchers() const;
     bool isRegistered(const VmId& vm) const;
     /** Number of the other dispatchers of the zone that stay before this VM does when the tier shrinks.
      * @param processors cores of this VM */
@@ -72,6 +76,8 @@
     /** Revokes the lease, also one that is being granted. */
     void stop();
     bool isActive() const { return active_; }
+    /** Number of times that the registration has lapsed and was made anew. */
+    unsigned lapses() const { return lapses_; }
 
 private:
     void grantLease();
@@ -92,6 +98,7 @@
     /** Counts starts, so that responses to calls of an earlier start are told apart. */
     unsigned run_ = 0;
     unsigned consecutiveFailures_ = 0;
+    unsigned lapses_ = 0;
     bool active_ = false;
 };
 
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -1,5 +1,6 @@
 #include "request_runner.h"
 
+#include "credit_gate.h"
 #include "local_responses.h"
 #include "response_timing.h"
 #include "telemetry/log.h"
@@ -73,6 +74,13 @@
     return route_.isGather() ? route_.gather.shards[shard] : selectedService_;
 }
 
+Duration RequestRunner::previousAttemptsTime() const
+{
+    // The remaining time of a caller shrinks with each attempt, so the difference to the longest deadline of
+    // the route estimates the time spent on earlier attempts.
+    return std::max(Duration::zero(), history_.longestDeadline - deadline_);
+}
+
 dispatch::PlanRules RequestRunner::planRules() const
 {
     dispatch::PlanRules rules;
@@ -83,9 +91,7 @@
     ResponseTimingInputs times;
     times.arrivedAt = arrivedAt_;
     times.objective = route_.latencyObjective;
-    // The remaining time of a caller shrinks with each attempt, so the difference to the longest deadline of
-    // the route estimates the time spent on earlier attempts.
-    times.previousAttemptsTime = std::max(Duration::zero(), history_.longestDeadline - deadline_);
+    times.previousAttemptsTime = previousAttemptsTime();
     times.openedConnection = openedConnection_;
     times.callerDelay = traffic_.settings().callerDelay;
     times.returnDelay = returnDelay_;
@@ -109,6 +115,42 @@
                 unavailableResponse(traffic_.dialect().headers, configurationRetryAfter), "no service", now);
         selectedService_ = *service;
     }
+    onDisconnect_([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->handleDisconnect(BootClock::now());
+    });
+    if (!customer_)
+        return begin(now);
+    const bool isLate = previousAttemptsTime() >= route_.latencyObjective;
+    traffic_.creditGate().request(
+        *customer_, isLate, now, [self = shared_from_this()](const quota::CreditResult& credit) {
+            self->handleCredit(credit, BootClock::now());
+        });
+}
+
+void RequestRunner::handleCredit(const quota::CreditResult& credit, TimePoint now)
+{
+    hasCredit_ = credit.answer == quota::CreditAnswer::Granted;
+    if (finished_) {
+        // The caller left while the owner of the credit was asked.
+        if (hasCredit_)
+            traffic_.creditGate().giveBack(customer_->id);
+        return;
+    }
+    if (hasCredit_)
+        return begin(now);
+    const auto& names = traffic_.dialect().headers;
+    if (credit.answer == quota::CreditAnswer::NotOwner) {
+        traffic_.metrics().limitUnknown.add();
+        return finish(unavailableResponse(names, unavailableRetryAfter), "refused, limit unknown", now);
+    }
+    traffic_.metrics().overLimit.add();
+    const auto wait = scaled(credit.retryAfter, 1 + returnSpread * traffic_.uniformRandom());
+    finish(overLimitResponse(names, wait), "refused, over the limit", now);
+}
+
+void RequestRunner::begin(TimePoint now)
+{
     const auto rules = planRules();
     shardResults_.resize(rules.shards);
     for (std::size_t shard = 0; shard < rules.shards; ++shard)
@@ -122,10 +164,6 @@
         if (!restEnd || *restEnd >= rules.partialAnswerAt)
             return respondWithRefusal(now);
     }
-    onDisconnect_([weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->handleDisconnect(BootClock::now());
-    });
     runPlan(now);
 }
 
@@ -423,6 +461,8 @@
 void RequestRunner::respondWithRefusal(TimePoint now)
 {
     traffic_.metrics().refused.add();
+    if (std::exchange(hasCredit_, false))
+        traffic_.creditGate().giveBack(customer_->id);
     auto& reach = traffic_.reach();
     reach.recordFailure(now);
     const bool cutOff = reach.isCutOff(now);
@@ -488,7 +528,9 @@
     traffic_.metrics().callersGone.add();
     traffic_.requestLog().logOutcome(now, "caller disconnected before the response",
         { { "id", requestId_ }, { "route", route_.name }, { "elapsed_ms", formatMillis(now - arrivedAt_) },
-            { "parts", std::to_string(plan_->partsReceived()) } });
+            { "parts", std::to_string(plan_ ? plan_->partsReceived() : 0) } });
+    if (plan_ && !plan_->wasSent() && std::exchange(hasCredit_, false))
+        traffic_.creditGate().giveBack(customer_->id);
     // Replicas stop processing a request when its connection closes.
     const auto open = attempts_;
     for (const auto& attempt : open) {
--- a/libs/gateway/src/request_runner.h
+++ b/libs/gateway/src/request_runner.h
@@ -3,6 +3,7 @@
 #include "attempts.h"
 #include "dispatch/request_plan.h"
 #include "gather_response.h"
+#include "quota/credit_ledger.h"
 #include "request_routing.h"
 #include "traffic_manager.h"
 
@@ -30,6 +31,9 @@
 
 private:
     void start(TimePoint now);
+    void handleCredit(const quota::CreditResult& credit, TimePoint now);
+    /** Plans the request and sends it. @pre the request is within its customer's limit */
+    void begin(TimePoint now);
     void runPlan(TimePoint now);
     void wait(TimePoint until, TimePoint now);
     /** Starts an attempt for a step, or reports to the plan why none can be started. */
@@ -57,6 +61,7 @@
 
     const ServiceId& serviceOf(std::size_t shard) const;
     Duration typicalResponseTime() const;
+    Duration previousAttemptsTime() const;
     dispatch::PlanRules planRules() const;
 
     TrafficManager& traffic_;
@@ -84,6 +89,7 @@
     boost::asio::steady_timer timer_;
     unsigned repeats_ = 0;
     bool finished_ = false;
+    bool hasCredit_ = false;
     bool runningPlan_ = false;
 };
 
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -59,6 +59,14 @@
     , refused(metrics.counter("banyancroft_gateway_refused_total", "Requests refused as not run"))
     , unauthorized(metrics.counter(
           "banyancroft_gateway_unauthorized_total", "Requests without a valid API key, answered with 401"))
+    , overLimit(metrics.counter("banyancroft_quota_over_limit_total",
+          "Requests beyond the limit of their customer, answered with 429"))
+    , limitUnknown(metrics.counter("banyancroft_quota_unknown_total",
+          "Requests refused because this VM could not learn whether they are within the limit"))
+    , creditQuestions(metrics.counter(
+          "banyancroft_quota_questions_total", "Requests whose credit was asked of another VM"))
+    , creditFallbacks(metrics.counter("banyancroft_quota_fallbacks_total",
+          "Requests decided by this VM's own share of the customer's limit"))
     , failed(metrics.counter("banyancroft_gateway_failed_total", "Requests that failed and may have run"))
     , callersGone(metrics.counter("banyancroft_gateway_callers_gone_total", "Callers that left early"))
     , subRequests(metrics.counter("banyancroft_gateway_sub_requests_total", "Requests sent to replicas"))
@@ -141,6 +149,7 @@
 void TrafficManager::applySettings(const Settings& settings, TimePoint now)
 {
     settings_.retries = settings.retries;
+    settings_.customerLimits = settings.customerLimits;
     settings_.coldOvershoot = settings.coldOvershoot;
     settings_.coldSlack = settings.coldSlack;
     settings_.callerDelay = settings.callerDelay;
--- a/libs/gateway/src/traffic_manager.h
+++ b/libs/gateway/src/traffic_manager.h
@@ -29,6 +29,8 @@
 
 namespace banyancroft::gateway {
 
+class CreditGate;
+
 /** Metrics of requests and sub-requests. */
 struct TrafficMetrics {
     explicit TrafficMetrics(telemetry::Metrics& metrics);
@@ -38,6 +40,10 @@
     telemetry::Counter& partial;
     telemetry::Counter& refused;
     telemetry::Counter& unauthorized;
+    telemetry::Counter& overLimit;
+    telemetry::Counter& limitUnknown;
+    telemetry::Counter& creditQuestions;
+    telemetry::Counter& creditFallbacks;
     telemetry::Counter& failed;
     telemetry::Counter& callersGone;
     telemetry::Counter& subRequests;
@@ -126,6 +132,10 @@
     const std::set<VmId>& dispatchers() const { return dispatchers_; }
     bool isDispatcher() const { return dispatchers_.contains(settings_.vm); }
 
+    /** Must be set before the first request; must outlive the traffic manager's requests. */
+    void setCreditGate(CreditGate* gate) { creditGate_ = gate; }
+    CreditGate& creditGate() { return *creditGate_; }
+
     /** @param handler called when a replica has said, to this VM or a dispatcher, that it is leaving */
     void onUpstreamLeaving(std::function<void(const upstreams::UpstreamRecord&)> handler)
     {
@@ -195,6 +205,7 @@
     ReachTracker reach_;
     std::set<VmId> dispatchers_;
     std::function<void(const upstreams::UpstreamRecord&)> upstreamLeaving_;
+    CreditGate* creditGate_ = nullptr;
     ConfigVersion newestVersionSeen_;
     TimePoint lastTickAt_ {};
     /** Nothing is sent to cold replicas before this time. */
--- a/libs/handover/include/handover/frames.h
+++ b/libs/handover/include/handover/frames.h
@@ -96,8 +96,37 @@
     std::uint64_t startedAtUnixMillis = 0;
 };
 
-using Frame
-    = std::variant<Offer, Acceptance, Decline, Begin, Answer, Cancel, Status, StatusQuery, UpstreamLeaving>;
+/** Asks the owner of a customer's credit for one request. */
+struct CreditRequest {
+    std::uint64_t number = 0;
+    CustomerId customer;
+    /** The VM that runs the request. */
+    VmId asker;
+    /** The request can no longer meet its latency objective. */
+    bool isLate = false;
+};
+
+enum class CreditDecision : std::uint8_t {
+    Granted = 0,
+    OverLimit = 1,
+    /** The VM does not hold the customer's credit. */
+    NotOwner = 2,
+};
+
+struct CreditReply {
+    std::uint64_t number = 0;
+    CreditDecision decision = CreditDecision::NotOwner;
+    /** For OverLimit: time after which the caller may return. */
+    Duration retryAfter {};
+};
+
+/** A request that had credit has not run. */
+struct CreditReturn {
+    CustomerId customer;
+};
+
+using Frame = std::variant<Offer, Acceptance, Decline, Begin, Answer, Cancel, Status, StatusQuery,
+    UpstreamLeaving, CreditRequest, CreditReply, CreditReturn>;
 
 /** Encodes a frame as its length in four bytes, most significant first, followed by a MessagePack array. */
 std::string encode(const Frame& frame);
--- a/libs/handover/src/frames.cpp
+++ b/libs/handover/src/frames.cpp
@@ -26,6 +26,9 @@
     Status,
     StatusQuery,
     UpstreamLeaving,
+    CreditRequest,
+    CreditReply,
+    CreditReturn,
 };
 
 template <typename... Values> Json message(FrameType type, Values&&... values)
@@ -79,6 +82,20 @@
     return message(FrameType::UpstreamLeaving, leaving.upstream.str(), leaving.startedAtUnixMillis);
 }
 
+Json toJson(const CreditRequest& request)
+{
+    return message(FrameType::CreditRequest, request.number, request.customer.str(), request.asker.str(),
+        request.isLate);
+}
+
+Json toJson(const CreditReply& reply)
+{
+    return message(FrameType::CreditReply, reply.number, static_cast<unsigned>(reply.decision),
+        toMicros(reply.retryAfter));
+}
+
+Json toJson(const CreditReturn& credit) { return message(FrameType::CreditReturn, credit.customer.str()); }
+
 Duration micros(const Json& json)
 {
     constexpr std::int64_t maxMicros = std::int64_t { 24 } * 3600 * 1000 * 1000;
@@ -96,6 +113,14 @@
     return { json.at(1), static_cast<DeclineReason>(reason), json.at(3) };
 }
 
+CreditReply parseCreditReply(const Json& json)
+{
+    const auto decision = json.at(2).get<unsigned>();
+    if (decision > static_cast<unsigned>(CreditDecision::NotOwner))
+        throw std::invalid_argument("unknown credit decision " + std::to_string(decision));
+    return { json.at(1), static_cast<CreditDecision>(decision), micros(json.at(3)) };
+}
+
 Answer parseAnswer(const Json& json)
 {
     Answer answer;
@@ -138,6 +163,13 @@
         return StatusQuery {};
     case FrameType::UpstreamLeaving:
         return UpstreamLeaving { UpstreamId(json.at(1).get<std::string>()), json.at(2) };
+    case FrameType::CreditRequest:
+        return CreditRequest { json.at(1), CustomerId(json.at(2).get<std::string>()),
+            VmId(json.at(3).get<std::string>()), json.at(4) };
+    case FrameType::CreditReply:
+        return parseCreditReply(json);
+    case FrameType::CreditReturn:
+        return CreditReturn { CustomerId(json.at(1).get<std::string>()) };
     }
     throw std::invalid_argument("unknown frame type");
 }
--- /dev/null
+++ b/libs/quota/tests/test_fleet_limit.cpp
@@ -0,0 +1,254 @@
+#include "quota/credit_ledger.h"
+#include "quota/fallback_credit.h"
+#include "quota/owner_set.h"
+#include "quota/standing_credit.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <vector>
+
+using namespace banyancroft;
+using namespace banyancroft::quota;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 1000s };
+const CustomerId customer { "archive" };
+constexpr Duration viewSkew = 2s;
+constexpr Duration step = 50ms;
+constexpr Duration silenceLimit = 500ms;
+constexpr Duration leaseTime = 5s;
+constexpr Duration countedAfterRemoval = 5s;
+constexpr RateLimit limit { 20, 20 };
+const LimitBounds bounds;
+constexpr int vmCount = 5;
+
+/** One process and what it has seen; a restart replaces it. */
+struct Vm {
+    explicit Vm(const VmId& name)
+        : id(name)
+        , owners(name, viewSkew)
+        , ledger(bounds)
+        , fallback(bounds)
+        , standing(bounds)
+    {
+    }
+
+    VmId id;
+    OwnerSet owners;
+    CreditLedger ledger;
+    FallbackCredit fallback;
+    StandingCredit standing;
+    Duration viewDelay {};
+    std::map<VmId, TimePoint> heardAt;
+};
+
+/** Registrations and network of a few VMs, with all of them asking for credit without end. */
+class Fleet {
+public:
+    Fleet()
+    {
+        for (int i = 0; i < vmCount; ++i) {
+            ids.emplace_back("vm-" + std::to_string(i));
+            vms.push_back(std::make_unique<Vm>(ids.back()));
+            renewedAt.push_back(start);
+        }
+        history.emplace_back(TimePoint {}, std::set<VmId>(ids.begin(), ids.end()));
+    }
+
+    bool connected(int from, int to) const
+    {
+        return isRunning(from) && isRunning(to) && side[from] == side[to];
+    }
+    bool isRunning(int vm) const { return now >= downUntil[vm]; }
+
+    /** VMs whose lease lasts at `at`, as the store sees it. */
+    std::set<VmId> registeredAt(TimePoint at) const
+    {
+        std::set<VmId> result;
+        for (const auto& [time, registered] : history) {
+            if (time <= at)
+                result = registered;
+        }
+        return result;
+    }
+
+    void runStep()
+    {
+        std::set<VmId> registered;
+        for (int i = 0; i < vmCount; ++i) {
+            // Side 0 reaches the store. A VM lists the store before it registers.
+            const bool hasLapsed = now - renewedAt[i] >= leaseTime;
+            if (isRunning(i) && side[i] == 0 && (hasView(i) || !hasLapsed)) {
+                renewedAt[i] = now;
+                if (hasLapsed)
+                    vms[i]->owners.registeredAgain();
+            }
+            if (now - renewedAt[i] < leaseTime)
+                registered.insert(ids[i]);
+        }
+        if (history.empty() || history.back().second != registered)
+            history.emplace_back(now, std::move(registered));
+        for (int i = 0; i < vmCount; ++i) {
+            if (!isRunning(i))
+                continue;
+            if (side[i] == 0) {
+                auto at = now - vms[i]->viewDelay;
+                viewAt[i] = std::max(viewAt[i], at);
+            }
+            for (int j = 0; j < vmCount; ++j) {
+                if (!connected(i, j))
+                    continue;
+                vms[i]->heardAt[ids[j]] = now;
+                viewAt[i] = std::max(viewAt[i], viewAt[j]);
+            }
+            if (hasView(i) && isIsolated(now - viewAt[i], reachable(i))) {
+                vms[i]->owners.reset();
+                vms[i]->ledger.clear();
+            } else if (hasView(i)) {
+                vms[i]->owners.update(registeredAt(viewAt[i]), now);
+            }
+        }
+        for (int i = 0; i < vmCount; ++i) {
+            while (isRunning(i) && takes(i))
+                granted.push_back(now);
+        }
+        now += step;
+    }
+
+    void restart(int vm, Duration down)
+    {
+        vms[vm] = std::make_unique<Vm>(ids[vm]);
+        viewAt[vm] = {};
+        downUntil[vm] = now + down;
+    }
+
+    /** Greatest number of grants in any window. */
+    std::size_t worstWindow() const
+    {
+        std::size_t worst = 0;
+        for (std::size_t begin = 0, end = 0; end < granted.size(); ++end) {
+            while (granted[end] - granted[begin] >= bounds.window)
+                ++begin;
+            worst = std::max(worst, end - begin + 1);
+        }
+        return worst;
+    }
+
+    TimePoint now = start;
+    std::vector<VmId> ids;
+    std::vector<std::unique_ptr<Vm>> vms;
+    std::vector<TimePoint> renewedAt;
+    std::array<TimePoint, vmCount> downUntil {};
+    std::array<TimePoint, vmCount> viewAt {};
+    std::array<int, vmCount> side {};
+    std::vector<std::pair<TimePoint, std::set<VmId>>> history;
+    std::vector<TimePoint> granted;
+
+private:
+    /** A process that has just started knows no configuration, so it serves nobody. */
+    bool hasView(int vm) const { return viewAt[vm] != TimePoint {}; }
+
+    /** VMs that share the limit in the view of a VM. */
+    std::set<VmId> sharers(int vm) const
+    {
+        auto result = registeredAt(viewAt[vm]);
+        for (std::size_t i = 1; i < history.size(); ++i) {
+            const auto replacedAt = history[i].first;
+            if (replacedAt <= viewAt[vm] && now - replacedAt < countedAfterRemoval)
+                result.insert(history[i - 1].second.begin(), history[i - 1].second.end());
+        }
+        result.insert(ids[vm]);
+        return result;
+    }
+
+    bool isReachable(int vm, const VmId& other) const
+    {
+        const auto heard = vms[vm]->heardAt.find(other);
+        return other == ids[vm] || (heard != vms[vm]->heardAt.end() && now - heard->second < silenceLimit);
+    }
+
+    double reachable(int vm) const
+    {
+        const auto known = sharers(vm);
+        const auto count
+            = std::count_if(known.begin(), known.end(), [&](const VmId& id) { return isReachable(vm, id); });
+        return static_cast<double>(count) / static_cast<double>(known.size());
+    }
+
+    bool takes(int vm)
+    {
+        auto& self = *vms[vm];
+        if (!hasView(vm) || isIsolated(now - viewAt[vm], reachable(vm)))
+            return false;
+        CreditResult result;
+        bool early = false;
+        for (const auto& id : self.owners.ranked(customer)) {
+            if (!isReachable(vm, id))
+                continue;
+            const auto index = static_cast<int>(std::find(ids.begin(), ids.end(), id) - ids.begin());
+            const CreditLedger::Reach reach { reachable(index), sharers(index).size(),
+                [this, index](const VmId& other) { return isReachable(index, other); } };
+            // Starts the request before the owner answers.
+            early = index != vm && self.standing.tryTake(customer, limit, sharers(vm), self.id, now);
+            if (connected(vm, index) && !isIsolated(now - viewAt[index], reachable(index)))
+                result = vms[index]->ledger.take(
+                    { id, ids[vm], customer }, limit, vms[index]->owners, reach, now);
+            break;
+        }
+        if (result.answer == CreditAnswer::NotOwner)
+            result = self.fallback.take(customer, limit, sharers(vm), self.id, now);
+        const bool isGranted = result.answer == CreditAnswer::Granted;
+        if (early && isGranted)
+            self.standing.restore(customer);
+        return early || isGranted;
+    }
+};
+
+} // namespace
+
+/**
+ * A customer asks without end at all VMs while these restart, lose the store and are cut off from each other,
+ * and while each learns of changes up to the view skew later than the store. Guards against more requests in
+ * any window than the limit and its tolerance permit.
+ */
+RC_BOOST_PROP(limitHoldsInEveryWindowWhileTheFleetChanges, ())
+{
+    Fleet fleet;
+    for (const auto& vm : fleet.vms)
+        vm->viewDelay = std::chrono::milliseconds(*rc::gen::inRange(0, 2000));
+    const auto end = start + 60s;
+    auto nextEvent = start + 10s;
+    while (fleet.now < end) {
+        if (fleet.now >= nextEvent) {
+            const auto kind = *rc::gen::inRange(0, 4);
+            const auto vm = *rc::gen::inRange(0, vmCount);
+            const auto length = std::chrono::milliseconds(*rc::gen::inRange(100, 8000));
+            if (kind == 0)
+                fleet.restart(vm, length);
+            // The users' platform bears the loss of one availability zone, so most VMs stay in contact with
+            // the store.
+            if (kind == 1 && std::count(fleet.side.begin(), fleet.side.end(), 1) < vmCount / 2)
+                fleet.side[vm] = 1 - fleet.side[vm];
+            if (kind == 2)
+                fleet.side.fill(0);
+            if (kind == 3 && *rc::gen::inRange(0, 4) == 0) {
+                for (int i = 0; i < vmCount; ++i)
+                    fleet.restart(i, 600ms);
+            }
+            nextEvent = fleet.now + std::chrono::milliseconds(*rc::gen::inRange(2000, 12000));
+        }
+        fleet.runStep();
+    }
+    const auto allowed = limit.perSecond * 5 + limit.burst + tolerance(limit, bounds);
+    RC_LOG("worst window: " + std::to_string(fleet.worstWindow()));
+    RC_ASSERT(static_cast<double>(fleet.worstWindow()) <= allowed);
+    // Most of the limit is used, or the check would be void.
+    RC_ASSERT(fleet.granted.size() > 60 * limit.perSecond / 3);
+}
--- a/libs/routing/include/routing/route_table.h
+++ b/libs/routing/include/routing/route_table.h
@@ -28,6 +28,10 @@
     const Service* service(const ServiceId& id) const;
     /** @return nullptr when no customer holds the key */
     const Customer* customerOfKey(std::string_view key) const;
+    /** @return nullptr when the customer is not in the configuration */
+    const Customer* customer(const CustomerId& id) const;
+    /** True if at least one customer has a rate limit. */
+    bool hasLimitedCustomers() const;
     /** Number of keys that more than one customer holds; the first customer in the configuration keeps them.
      */
     std::size_t sharedKeys() const;
--- a/libs/routing/src/route_table.cpp
+++ b/libs/routing/src/route_table.cpp
@@ -29,6 +29,8 @@
         for (const auto& service : configuration_.services)
             services_.emplace(service.id.str(), &service);
         for (const auto& customer : configuration_.customers) {
+            customersById_.emplace(customer.id.str(), &customer);
+            hasLimitedCustomers_ = hasLimitedCustomers_ || customer.requestsPerSecond > 0;
             for (const auto& key : customer.keys) {
                 const auto [held, isNew] = customersByKey_.emplace(key, &customer);
                 sharedKeys_ += !isNew && held->second != &customer;
@@ -41,7 +43,9 @@
     StringMap<const Route*> routes_;
     StringMap<const Service*> services_;
     StringMap<const Customer*> customersByKey_;
+    StringMap<const Customer*> customersById_;
     std::size_t sharedKeys_ = 0;
+    bool hasLimitedCustomers_ = false;
 };
 
 RouteTable::RouteTable(Configuration configuration)
@@ -81,6 +85,14 @@
     return found == impl_->customersByKey_.end() ? nullptr : found->second;
 }
 
+const Customer* RouteTable::customer(const CustomerId& id) const
+{
+    const auto found = impl_->customersById_.find(id.view());
+    return found == impl_->customersById_.end() ? nullptr : found->second;
+}
+
+bool RouteTable::hasLimitedCustomers() const { return impl_->hasLimitedCustomers_; }
+
 std::size_t RouteTable::sharedKeys() const { return impl_->sharedKeys_; }
 
 const ServiceId* pickService(const Route& route, double randomValue)
