Add conditional writes to the polled store

The roll-out of versions and restored stores need writes that fail when another writer was faster; PolledStore offered only unconditional ones. putIf() writes a key only at an expected revision (zero: the key must not exist) and reports ErrorKind::Conflict otherwise. The stand-ins of the gateway tests apply the same rule.

--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -91,6 +91,22 @@
         complete<store::Revision>(std::move(callback), [this] { return store::Revision { revision }; });
     }
 
+    void putIf(std::string_view key, std::string value, store::LeaseId, store::Revision expectedRevision,
+        store::Callback<store::Revision> callback) override
+    {
+        const auto found = keys.find(std::string(key));
+        const auto current = found == keys.end() ? store::Revision() : found->second.modified;
+        if (isDown || current == expectedRevision) {
+            if (!isDown)
+                set(std::string(key), std::move(value));
+            return complete<store::Revision>(
+                std::move(callback), [written = revision] { return store::Revision { written }; });
+        }
+        boost::asio::post(ioContext_, [callback = std::move(callback)] {
+            callback(std::nullopt, { ErrorKind::Conflict, "revision differs", "read the key again" });
+        });
+    }
+
     void grantLease(Duration timeToLive, store::Callback<store::LeaseGrant> callback) override
     {
         complete<store::LeaseGrant>(std::move(callback), [timeToLive] {
--- a/libs/gateway/tests/gateway_fleet.h
+++ b/libs/gateway/tests/gateway_fleet.h
@@ -149,6 +149,11 @@
             key_ = std::string(key);
             shared_.put(key, std::move(value), lease, onVm(std::move(callback)));
         }
+        void putIf(std::string_view key, std::string value, store::LeaseId lease,
+            store::Revision expectedRevision, store::Callback<store::Revision> callback) override
+        {
+            shared_.putIf(key, std::move(value), lease, expectedRevision, onVm(std::move(callback)));
+        }
         void grantLease(Duration timeToLive, store::Callback<store::LeaseGrant> callback) override
         {
             shared_.grantLease(timeToLive, onVm(std::move(callback)));
--- a/libs/gateway/tests/test_store_sync.cpp
+++ b/libs/gateway/tests/test_store_sync.cpp
@@ -365,3 +365,21 @@
     BOOST_TEST(learnt);
     BOOST_TEST(sync.view().revision().value >= 11U);
 }
+
+// The stand-in must refuse what the store refuses, or tests of conditional writes pass on faulty callers.
+BOOST_AUTO_TEST_CASE(standInAppliesConditionalWrites)
+{
+    SyncFixture fixture;
+    const auto put = [&](std::uint64_t expected) {
+        std::optional<Error> reason;
+        fixture.store.putIf("key", "value", {}, { expected },
+            [&](std::optional<store::Revision>, const Error& failure) { reason = failure; });
+        fixture.runUntil([&] { return reason.has_value(); });
+        return reason.value_or(Error { ErrorKind::Internal, "", "" }).kind == ErrorKind::Conflict;
+    };
+    BOOST_TEST(!put(0));
+    BOOST_TEST(put(0));
+    const auto written = fixture.store.keys.at("key").modified.value;
+    BOOST_TEST(put(written - 1));
+    BOOST_TEST(!put(written));
+}
--- a/libs/store/include/store/polled_store.h
+++ b/libs/store/include/store/polled_store.h
@@ -28,6 +28,16 @@
         = 0;
     /** Writes a key unconditionally. @param lease zero for none */
     virtual void put(std::string_view key, std::string value, LeaseId lease, Callback<Revision> callback) = 0;
+    /**
+     * Writes a key only if its revision is `expectedRevision`; zero means that the key must not exist. The
+     * callback gets ErrorKind::Conflict if the revision differs and nothing was written. A write that was
+     * repeated after TimedOut or Unavailable may conflict with its own first attempt, so the caller reads the
+     * key after a conflict.
+     * @param lease zero for none
+     */
+    virtual void putIf(std::string_view key, std::string value, LeaseId lease, Revision expectedRevision,
+        Callback<Revision> callback)
+        = 0;
     virtual void grantLease(Duration timeToLive, Callback<LeaseGrant> callback) = 0;
     /** Renews a lease; ErrorKind::NotFound when it has lapsed. */
     virtual void renewLease(LeaseId lease, Callback<LeaseGrant> callback) = 0;
