Read the era of the store from its answers

A store that is restored from a copy gives revisions and lease numbers out again, and nothing told them apart from those before.

--- a/libs/store/include/store/http_client.h
+++ b/libs/store/include/store/http_client.h
@@ -19,7 +19,11 @@
 
 struct HttpResponse {
     unsigned status = 0;
-    std::string body;
+    std::string body {};
+    std::vector<std::pair<std::string, std::string>> headers {};
+
+    /** Value of the first header with the name, in any case; empty if there is none. */
+    std::optional<std::string_view> header(std::string_view name) const;
 };
 
 /** Reason why a call has no response. */
--- a/libs/store/include/store/polled_store.h
+++ b/libs/store/include/store/polled_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "store/era.h"
 #include "store/store.h"
 
 namespace banyancroft::store {
@@ -10,6 +11,11 @@
  * As with Store, all calls return at once, and each runs its callback exactly once on the owner's thread,
  * with ErrorKind::TimedOut or ErrorKind::Unavailable when no answer arrived. A write that ended with one of
  * these errors may have taken effect, or may take effect seconds later.
+ *
+ * The store may be restored from a copy, which starts a new era: writes of the last seconds are lost, and
+ * revisions and lease numbers are given out again. eras() has been updated when a callback runs. A caller
+ * that acts on a revision or a lease keeps the era that it belongs to; if the current era is newer in the
+ * callback, the outcome of a write is unknown, and the caller reads the key or obtains a lease again.
  */
 class PolledStore {
 public:
@@ -32,7 +38,8 @@
      * Writes a key only if its revision is `expectedRevision`; zero means that the key must not exist. The
      * callback gets ErrorKind::Conflict if the revision differs and nothing was written. A write that was
      * repeated after TimedOut or Unavailable may conflict with its own first attempt, so the caller reads the
-     * key after a conflict.
+     * key after a conflict. In a new era the expected revision may have been given to another value: success
+     * and conflict both say nothing if the era is newer than that of the expected revision.
      * @param lease zero for none
      */
     virtual void putIf(std::string_view key, std::string value, LeaseId lease, Revision expectedRevision,
@@ -43,6 +50,12 @@
     virtual void renewLease(LeaseId lease, Callback<LeaseGrant> callback) = 0;
     /** Ends a lease and deletes the keys attached to it. */
     virtual void revokeLease(LeaseId lease, Callback<bool> callback) = 0;
+    /** Eras seen in the answers of the store. */
+    virtual EraTracker& eras() { return eras_; }
+
+private:
+    /** Of stores without eras. */
+    EraTracker eras_;
 };
 
 } // namespace banyancroft::store
--- a/libs/store/include/store/store.h
+++ b/libs/store/include/store/store.h
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "store/era.h"
 
 #include <cstdint>
 #include <functional>
@@ -30,6 +31,8 @@
     std::vector<KeyValue> entries;
     /** Revision of the store at which the listing was taken. */
     Revision revision;
+    /** Era of the store in which the revisions were given; 0 for stores without eras. */
+    StoreEra era {};
 };
 
 /** Result of a compare-and-swap that the store answered. */
@@ -55,6 +58,8 @@
 struct LeaseGrant {
     LeaseId lease;
     Duration timeToLive {};
+    /** Era of the store in which the lease was granted; a later era may give its number to another client. */
+    StoreEra era {};
 };
 
 /** Receives either a result or an empty optional and the reason of the failure. */
--- a/libs/store/src/http_client.cpp
+++ b/libs/store/src/http_client.cpp
@@ -39,6 +39,15 @@
 
 } // namespace
 
+std::optional<std::string_view> HttpResponse::header(std::string_view name) const
+{
+    for (const auto& [known, value] : headers) {
+        if (beast::iequals({ known.data(), known.size() }, { name.data(), name.size() }))
+            return value;
+    }
+    return std::nullopt;
+}
+
 class HttpClient::Impl {
 public:
     class Call;
@@ -210,7 +219,10 @@
                 auto message = self->parser_->release();
                 if (reusable)
                     self->client_->returnToPool(std::move(self->socket_));
-                self->finish(HttpResponse { message.result_int(), std::move(message.body()) }, {});
+                HttpResponse response { message.result_int(), std::move(message.body()) };
+                for (const auto& field : message.base())
+                    response.headers.emplace_back(field.name_string(), field.value());
+                self->finish(std::move(response), {});
             });
     }
 
