Follow a store that was restored from a copy

After a restore, revisions go back and are given out again, so views stayed at the old revision or mixed both histories, leases were renewed under numbers that may belong to other VMs, and entries of the copy could undo what came later. Views, the relay's question and answer and the VM's lease now carry the era. A newer era leads to a full listing and a new lease; removals of replicas and VMs and missing evacuations are deferred for the grace period; the highest configuration version stays in the view and is served to VMs that start; entries of removed runs of replicas have no effect.

--- a/libs/gateway/include/gateway/store_item.h
+++ b/libs/gateway/include/gateway/store_item.h
@@ -55,6 +55,11 @@
     std::function<std::optional<StoreItem>(const store::KeyValue&, Error&)> decode;
     /** Decodes the deletion of a key. */
     std::function<StoreItem(std::string_view key)> decodeRemoval;
+    /**
+     * True if an entry of the time before the store was restored from a copy stays in force against that of
+     * the copy, such as a newer configuration; see StoreView::Outranks. Empty if there are no such entries.
+     */
+    std::function<bool(const store::KeyValue& entry, const store::KeyValue& ofCopy)> outranks {};
 };
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "dispatch_tier.h"
+#include "evacuations.h"
 #include "http_listener.h"
 #include "local_responses.h"
 #include "membership.h"
@@ -102,6 +103,8 @@
             [this] { return isReadyNow(BootClock::now()) ? 1.0 : 0.0; });
         metrics_.gauge("banyancroft_view_age_seconds", "Time since the view was the newest of the store",
             [this] { return toMillis(sync_.age(BootClock::now())) / 1000; });
+        metrics_.gauge("banyancroft_store_era", "Times that the store was restored, as of this VM's view",
+            [this] { return static_cast<double>(sync_.view().era().value); });
     }
 
     bool start(Error& reason)
@@ -140,6 +143,8 @@
             tier_.update(BootClock::now());
         };
         hooks.storeRecovered = [this](TimePoint at) { traffic_.registry().storeRecovered(at); };
+        hooks.storeRestored = [this](TimePoint at) { handleRestore(at); };
+        hooks.outranks = layout_.outranks;
         hooks.isReader = [this] { return members_.storeReader(settings_.zone) == settings_.vm; };
         hooks.isSource = [this] { return isSourceOfChanges(); };
         hooks.peerAddress = [this](PeerChoice choice) { return peerAddress(choice); };
@@ -203,17 +208,15 @@
     void serveRelay(const CallerRequest& request)
     {
         http::Response response;
-        const auto& target = request.head.target;
-        const auto known = target.starts_with(relayPath)
-            ? http::parseNumber(std::string_view(target).substr(relayPath.size()))
-            : std::nullopt;
-        if (!known) {
+        const auto question = decodeQuestion(request.head.target);
+        if (!question) {
             response.status = statusNotFound;
         } else if (sync_.view().isEmpty()) {
             response.status = statusUnavailable;
         } else {
             response.fields.emplace_back("Content-Type", "application/msgpack");
-            response.body = encodeUpdate(sync_.view().since({ *known }), BootClock::now());
+            response.body = encodeUpdate(
+                sync_.view().since(question->known, question->knownRetained), BootClock::now());
         }
         request.connection->respond(response, false);
     }
@@ -236,6 +239,16 @@
         return IgnoredKey {};
     }
 
+    /** What the copy lacks stays in force for a time, since operators, replicas and VMs write it again. */
+    void handleRestore(TimePoint now)
+    {
+        const auto graceEnd = now + settings_.reregistrationGrace;
+        traffic_.registry().storeRestored(now);
+        members_.storeRestored(graceEnd);
+        evacuations_.storeRestored(graceEnd);
+        registration_.storeRestored();
+    }
+
     void applyListing(std::span<const store::KeyValue> entries)
     {
         const auto now = BootClock::now();
@@ -254,7 +267,8 @@
                 vms[member->vm] = std::move(*member->record);
         }
         traffic_.registry().applyListing(records, now);
-        setEvacuatedZones(std::move(evacuatedZones));
+        evacuations_.replaceAll(std::move(evacuatedZones));
+        applyEvacuations(now);
         members_.replaceAll(vms, now);
         hasListing_ = true;
         tier_.update(now);
@@ -270,13 +284,8 @@
         if (const auto* change = std::get_if<upstreams::RegistryChange>(&item))
             traffic_.registry().apply(*change, now);
         if (const auto* zone = std::get_if<ZoneEvacuationChange>(&item)) {
-            auto zones = traffic_.registry().evacuatedZones();
-            if (zone->isEvacuated) {
-                zones.insert(zone->zone);
-            } else {
-                zones.erase(zone->zone);
-            }
-            setEvacuatedZones(std::move(zones));
+            evacuations_.set(zone->zone, zone->isEvacuated);
+            applyEvacuations(now);
         }
         if (auto* member = std::get_if<MemberChange>(&item)) {
             if (member->record) {
@@ -287,8 +296,9 @@
         }
     }
 
-    void setEvacuatedZones(std::set<AvailabilityZone> zones)
+    void applyEvacuations(TimePoint now)
     {
+        auto zones = evacuations_.zones(now);
         if (zones == traffic_.registry().evacuatedZones())
             return;
         std::string names;
@@ -414,6 +424,8 @@
         runAfter(tickTimer_, tickPeriod, [this] { tick(); });
         const auto now = BootClock::now();
         sync_.step(now);
+        members_.applyDeferredRemovals(now);
+        applyEvacuations(now);
         traffic_.tick(now);
         // Without a first listing, requests are refused from here on instead of being kept waiting.
         if (!hasListing_ && now - startedAt_ > maxInitialListingWait)
@@ -437,6 +449,7 @@
         = metrics_.counter("banyancroft_store_malformed_total", "Values of the store that cannot be read");
     TrafficManager traffic_;
     MemberTracker members_;
+    Evacuations evacuations_;
     StoreSync sync_;
     Registration registration_;
     HttpListener callerListener_;
--- a/libs/gateway/src/membership.cpp
+++ b/libs/gateway/src/membership.cpp
@@ -37,8 +37,25 @@
 void MemberTracker::remove(const VmId& vm, TimePoint now)
 {
     const auto found = members_.find(vm);
-    if (found != members_.end() && found->second.countedUntil == TimePoint::max())
-        found->second.countedUntil = now + removalDelay;
+    if (found == members_.end() || found->second.countedUntil != TimePoint::max())
+        return;
+    auto& member = found->second;
+    if (now >= graceUntil_) {
+        member.countedUntil = now + removalDelay;
+        member.removalDue.reset();
+    } else if (!member.removalDue) {
+        member.removalDue = graceUntil_;
+    }
+}
+
+void MemberTracker::applyDeferredRemovals(TimePoint now)
+{
+    for (auto& [vm, member] : members_) {
+        if (!member.removalDue || now < *member.removalDue)
+            continue;
+        member.removalDue.reset();
+        member.countedUntil = now + removalDelay;
+    }
 }
 
 void MemberTracker::replaceAll(const std::map<VmId, MemberRecord>& members, TimePoint now)
@@ -142,8 +159,11 @@
 template <typename Handler> auto Registration::whileActive(Handler handler)
 {
     return [this, run = run_, handler = std::move(handler)](auto result, const Error& reason) {
-        if (active_ && run == run_)
-            handler(std::move(result), reason);
+        if (!active_ || run != run_)
+            return;
+        if (this->isLeaseOfOldEra())
+            return this->restart();
+        handler(std::move(result), reason);
     };
 }
 
@@ -152,11 +172,28 @@
     if (active_)
         return;
     active_ = true;
+    restart();
+}
+
+void Registration::restart()
+{
+    timer_.cancel();
     ++run_;
     consecutiveFailures_ = 0;
+    lease_ = {};
     grantLease();
 }
 
+void Registration::storeRestored()
+{
+    if (!active_ || !lease_ || !isLeaseOfOldEra())
+        return;
+    log(LogLevel::Info, "membership", "store was restored from a copy, registering under a new lease",
+        { { "lease", std::to_string(lease_.value) }, { "lease_era", std::to_string(leaseEra_.value) },
+            { "era", std::to_string(store_.eras().current().value) } });
+    restart();
+}
+
 void Registration::retry(std::function<void()> next)
 {
     const auto pause = retryInterval * (1U << std::min(consecutiveFailures_, maxRetryDoublings));
@@ -168,17 +205,21 @@
 {
     store_.grantLease(
         timeToLive_, [this, run = run_](std::optional<store::LeaseGrant> grant, const Error& reason) {
+            const bool isOfOldEra = grant && grant->era < store_.eras().current();
             if (!active_ || run != run_) {
-                if (grant)
+                if (grant && !isOfOldEra)
                     revoke(grant->lease);
                 return;
             }
+            if (isOfOldEra)
+                return retry([this] { this->grantLease(); });
             if (!grant) {
                 log(LogLevel::Warn, "membership", "cannot obtain registration lease, will retry",
                     { { "reason", toString(reason) } });
                 return retry([this] { this->grantLease(); });
             }
             lease_ = grant->lease;
+            leaseEra_ = grant->era;
             putRecord();
         });
 }
@@ -234,8 +275,9 @@
 {
     active_ = false;
     timer_.cancel();
-    if (lease_)
-        revoke(std::exchange(lease_, {}));
+    const auto lease = std::exchange(lease_, {});
+    if (lease && !isLeaseOfOldEra())
+        revoke(lease);
 }
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/membership.h
+++ b/libs/gateway/src/membership.h
@@ -33,6 +33,11 @@
     void remove(const VmId& vm, TimePoint now);
     /** Replaces the members by a full listing; VMs missing from it are removed as by remove(). */
     void replaceAll(const std::map<VmId, MemberRecord>& members, TimePoint now);
+    /** The store was restored from a copy: removals seen before `graceEnd` are deferred until then, since the
+     * VMs register again. */
+    void storeRestored(TimePoint graceEnd) { graceUntil_ = graceEnd; }
+    /** Applies the deferred removals that are due; to be called about once a second. */
+    void applyDeferredRemovals(TimePoint now);
     /** VMs that share the limits, including this one if it dispatches. */
     std::set<VmId> liveVms(TimePoint now) const;
     /** The VM that polls the store on behalf of an availability zone: one that dispatches there or, without
@@ -54,11 +59,14 @@
         MemberRecord record;
         /** Time until which the VM shares limits; TimePoint::max() while it is registered. */
         TimePoint countedUntil;
+        /** Time of its deferred removal. */
+        std::optional<TimePoint> removalDue {};
     };
 
     VmId self_;
     std::map<VmId, Member> members_;
     bool dispatching_ = true;
+    TimePoint graceUntil_ {};
 };
 
 /** Keeps this VM registered in the store under a lease while it dispatches. */
@@ -71,16 +79,23 @@
     void start();
     /** Revokes the lease, also one that is being granted. */
     void stop();
+    /** A newer era of the store is known: gives up a lease of an older era and registers again. The lease is
+     * neither renewed nor revoked, since its number may belong to another VM now. */
+    void storeRestored();
     bool isActive() const { return active_; }
 
 private:
     void grantLease();
+    /** Gives up the lease, if any, and obtains a new one. */
+    void restart();
+    bool isLeaseOfOldEra() const { return leaseEra_ < store_.eras().current(); }
     void putRecord();
     void renewLease();
     void revoke(store::LeaseId lease);
     /** Calls `next` later, after a longer pause with each consecutive failure. */
     void retry(std::function<void()> next);
-    /** Wraps a response handler, which is called only if the registration was not stopped meanwhile. */
+    /** Wraps the handler of a response to a call with the lease. It is called only if the registration was
+     * not stopped meanwhile and the lease is not of an older era. */
     template <typename Handler> auto whileActive(Handler handler);
 
     boost::asio::steady_timer timer_;
@@ -89,6 +104,7 @@
     const std::string value_;
     const Duration timeToLive_;
     store::LeaseId lease_;
+    store::StoreEra leaseEra_;
     /** Counts starts, so that responses to calls of an earlier start are told apart. */
     unsigned run_ = 0;
     unsigned consecutiveFailures_ = 0;
--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -26,6 +26,11 @@
 constexpr std::size_t truncationSuspectChanges = 100;
 constexpr std::size_t truncationSuspectBytes = 200 * 1024;
 
+/** A VM that starts after a restore asks other VMs for this long for the entries that they retain. */
+constexpr Duration retainedQueryPeriod = std::chrono::seconds(5);
+/** Minimum interval of log lines about answers with an invalid era. */
+constexpr Duration invalidEraLogInterval = std::chrono::seconds(10);
+
 constexpr unsigned statusOk = 200;
 
 } // namespace
@@ -52,7 +57,12 @@
     , peerCalls_(metrics.counter("banyancroft_peer_calls_total", "Questions to other VMs for changes"))
     , peerFailures_(
           metrics.counter("banyancroft_peer_failures_total", "Questions to other VMs without an answer"))
+    , restores_(metrics.counter(
+          "banyancroft_store_restores_total", "Restores of the store from a copy that this VM has seen"))
+    , invalidEras_(metrics.counter("banyancroft_store_invalid_eras_total",
+          "Answers of the store whose era is absent, has fallen or is not a number"))
     , startedAt_(BootClock::now())
+    , view_(hooks_.outranks)
     , storeReachedAt_(startedAt_)
 {
 }
@@ -74,9 +84,13 @@
         inputs.sincePeerResponse = now - *lastPeerResponseAt_;
     inputs.sinceStoreResponse = now - lastStoreResponseAt_;
     inputs.sincePeerRequest = now - lastPeerRequestAt_;
-    if (!storeRequestPending_ && now >= nextStoreRequestAt_ && shouldPollStore(inputs, intervals_))
+    reportInvalidEras(now);
+    if (!storeRequestPending_ && now >= nextStoreRequestAt_
+        && (isOfOldEra() || shouldPollStore(inputs, intervals_)))
         requestFromStore(now);
-    const auto choice = choosePeer(inputs, intervals_);
+    auto choice = choosePeer(inputs, intervals_);
+    if (now < retainedWantedUntil_ && inputs.sincePeerRequest >= intervals_.peerPoll)
+        choice = PeerChoice::Any;
     if (peerRequestPending_ || choice == PeerChoice::None)
         return;
     if (const auto peer = hooks_.peerAddress(choice))
@@ -104,7 +118,7 @@
 {
     storeRequestPending_ = true;
     storeCalls_.add();
-    if (view_.isEmpty() || historyCompacted_)
+    if (view_.isEmpty() || historyCompacted_ || isOfOldEra())
         return listStore(now);
     // A stale view is refreshed immediately instead of waiting for a change.
     const bool isFresh = age(now) < intervals_.staleAfter;
@@ -121,39 +135,45 @@
         historyCompacted_ = false;
         log(LogLevel::Info, "store", "listed all keys of the store",
             { { "keys", std::to_string(listing->entries.size()) },
+                { "era", std::to_string(listing->era.value) },
                 { "revision", std::to_string(listing->revision.value) } });
+        if (view_.isEmpty() && listing->era)
+            retainedWantedUntil_ = now + retainedQueryPeriod;
         handleStoreResponse({ true, std::move(*listing), requestedAt }, {}, requestedAt, now);
     });
 }
 
 void StoreSync::pollStore(TimePoint requestedAt, Duration wait)
 {
-    const auto after = view_.revision();
-    store_.pollChanges(prefix_, after, wait,
-        [this, requestedAt, after](std::optional<store::Listing> changes, const Error& reason) {
+    const auto base = view_.position();
+    store_.pollChanges(prefix_, base.revision, wait,
+        [this, requestedAt, base](std::optional<store::Listing> changes, const Error& reason) {
             const auto now = BootClock::now();
             storeRequestPending_ = false;
+            // The answer is about revisions that the restored store has given out again, or does not have.
+            if (isOfOldEra() && (changes || reason.kind == ErrorKind::NotFound))
+                return requestFromStore(now);
             if (!changes && reason.kind == ErrorKind::NotFound) {
                 log(LogLevel::Warn, "store",
                     "store has compacted the history after the revision, listing all keys again",
-                    { { "revision", std::to_string(after.value) } });
+                    { { "revision", std::to_string(base.revision.value) } });
                 historyCompacted_ = true;
                 return requestFromStore(now);
             }
             if (!changes)
                 return handleStoreFailure(reason, requestedAt, now);
             const bool more = mayHaveMore(changes->entries);
-            changes->revision = std::max(changes->revision, after);
+            changes->revision = std::max(changes->revision, base.revision);
             // A truncated response may omit changes, so the view is not known to match the store.
             const auto currentAt = more ? TimePoint {} : requestedAt;
-            handleStoreResponse({ false, std::move(*changes), currentAt }, after, requestedAt, now);
+            handleStoreResponse({ false, std::move(*changes), currentAt }, base, requestedAt, now);
             if (more)
                 requestFromStore(now);
         });
 }
 
 void StoreSync::handleStoreResponse(
-    const ViewUpdate& update, store::Revision baseRevision, TimePoint requestedAt, TimePoint now)
+    const ViewUpdate& update, ViewPosition base, TimePoint requestedAt, TimePoint now)
 {
     lastStoreResponseAt_ = now;
     if (consecutiveStoreFailures_ > 0)
@@ -162,7 +182,7 @@
                 { "failures", std::to_string(consecutiveStoreFailures_) },
                 { "revision", std::to_string(update.content.revision.value) } });
     consecutiveStoreFailures_ = 0;
-    applyUpdate(update, baseRevision, requestedAt, now);
+    applyUpdate(update, base, requestedAt, now);
 }
 
 void StoreSync::handleStoreFailure(const Error& reason, TimePoint requestedAt, TimePoint now)
@@ -193,9 +213,9 @@
     peerRequestPending_ = true;
     lastPeerRequestAt_ = now;
     peerCalls_.add();
-    const auto after = view_.revision();
-    peerClient_->call("GET", std::string(relayPath) + std::to_string(after.value), "", peerTimeout,
-        [this, client = peerClient_, peer, after, requestedAt = now](
+    const auto base = view_.position();
+    peerClient_->call("GET", encodeQuestion({ base, view_.retainedDigest() }), "", peerTimeout,
+        [this, client = peerClient_, peer, base, requestedAt = now](
             const std::optional<store::HttpResponse>& response, const store::HttpError& failure) {
             peerRequestPending_ = false;
             if (!response)
@@ -212,7 +232,8 @@
             if (!update)
                 return handlePeerFailure(peer, reason);
             peerFailing_ = false;
-            applyUpdate(*update, after, update->currentAt, respondedAt);
+            applyUpdate(*update, base, update->currentAt, respondedAt);
+            applyRetained(*update);
         });
 }
 
@@ -227,10 +248,12 @@
 }
 
 void StoreSync::applyUpdate(
-    const ViewUpdate& update, store::Revision baseRevision, TimePoint reachedAt, TimePoint now)
+    const ViewUpdate& update, ViewPosition base, TimePoint reachedAt, TimePoint now)
 {
-    if (!view_.apply(update, baseRevision))
+    const auto before = view_.position();
+    if (!view_.apply(update, base))
         return;
+    store_.eras().learn(view_.era());
     const auto reachedBefore = std::exchange(storeReachedAt_, std::max(storeReachedAt_, reachedAt));
     // Before the update is passed on, since it may hold registrations that lapsed.
     if (wasStoreUnavailable({ reachedBefore, storeReachedAt_, lastFailedCallAt_ })) {
@@ -240,8 +263,49 @@
                 { "revision", std::to_string(update.content.revision.value) } });
         hooks_.storeRecovered(now);
     }
+    if (before.revision && view_.era() > before.era)
+        handleRestore(before, now);
     if (update.isFull || !update.content.entries.empty())
         hooks_.viewUpdated(update);
 }
 
+void StoreSync::handleRestore(ViewPosition before, TimePoint now)
+{
+    restores_.add();
+    log(LogLevel::Warn, "store", "store was restored from a copy, removals of registrations are deferred",
+        { { "era_before", std::to_string(before.era.value) }, { "era", std::to_string(view_.era().value) },
+            { "revision_before", std::to_string(before.revision.value) },
+            { "revision", std::to_string(view_.revision().value) },
+            { "retains_entries", view_.retainedDigest() != 0 ? "yes" : "no" } });
+    hooks_.storeRestored(now);
+}
+
+void StoreSync::applyRetained(const ViewUpdate& update)
+{
+    if (update.content.era >= view_.era())
+        retainedWantedUntil_ = {};
+    auto entries = view_.retain(update.retained, update.content.era);
+    if (entries.empty())
+        return;
+    for (const auto& entry : entries)
+        log(LogLevel::Info, "store", "retaining an entry that is newer than that of the restored store",
+            { { "key", entry.key }, { "revision", std::to_string(entry.modified.value) } });
+    hooks_.viewUpdated({ false, { std::move(entries), view_.revision(), view_.era() }, view_.currentAt() });
+}
+
+void StoreSync::reportInvalidEras(TimePoint now)
+{
+    const auto& eras = store_.eras();
+    const auto newAnswers = eras.invalidAnswers() - invalidEras_.value();
+    if (newAnswers == 0)
+        return;
+    invalidEras_.add(newAnswers);
+    if (invalidEraLoggedAt_ && now - *invalidEraLoggedAt_ < invalidEraLogInterval)
+        return;
+    invalidEraLoggedAt_ = now;
+    log(LogLevel::Warn, "store", "answer of the store with an invalid era counts as of the known era",
+        { { "reason", toString(eras.lastProblem()) }, { "answers", std::to_string(newAnswers) },
+            { "era", std::to_string(eras.current().value) } });
+}
+
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/store_sync.h
+++ b/libs/gateway/src/store_sync.h
@@ -17,16 +17,13 @@
 
 namespace banyancroft::gateway {
 
-/** Path at which a VM serves its view to other VMs; the query is the revision that the client has. */
-constexpr std::string_view relayPath = "/changes?after=";
-
 /** True if the store may have truncated the response, so that more changes are pending. */
 bool mayHaveMore(std::span<const store::KeyValue> changes);
 
 /**
  * Keeps a StoreView up to date, from the store itself or from another VM that reads it. After a failure it
  * resumes from the last revision; if the store has compacted the history after that revision, it lists all
- * keys again. Runs on the thread of the io_context.
+ * keys again, and at once if the store was restored from a copy. Runs on the thread of the io_context.
  */
 class StoreSync {
 public:
@@ -36,12 +33,17 @@
         /** Called with the present time when the store answers again after an outage, see
          * wasStoreUnavailable(), before the first update since then is passed on. */
         std::function<void(TimePoint)> storeRecovered;
+        /** Called with the present time when the view has become that of a newer era, before its content is
+         * passed on. */
+        std::function<void(TimePoint)> storeRestored;
         /** True when this VM reads the store for its availability zone. */
         std::function<bool()> isReader;
         /** True when other VMs depend on this one for changes. */
         std::function<bool()> isSource;
         /** Address of a peer of the chosen kind; empty when none is known. */
         std::function<std::optional<ListenAddress>(PeerChoice)> peerAddress;
+        /** See StoreView; may be empty. */
+        StoreView::Outranks outranks {};
     };
 
     StoreSync(boost::asio::io_context& ioContext, store::PolledStore& store, std::string prefix,
@@ -60,13 +62,18 @@
     void listStore(TimePoint requestedAt);
     void pollStore(TimePoint requestedAt, Duration wait);
     void handleStoreResponse(
-        const ViewUpdate& update, store::Revision baseRevision, TimePoint requestedAt, TimePoint now);
+        const ViewUpdate& update, ViewPosition base, TimePoint requestedAt, TimePoint now);
     void handleStoreFailure(const Error& reason, TimePoint requestedAt, TimePoint now);
     void requestFromPeer(const ListenAddress& peer, TimePoint now);
     void handlePeerFailure(const ListenAddress& peer, const Error& reason);
     /** @param reachedAt time at which the store is known to have answered to the source of the update */
-    void applyUpdate(
-        const ViewUpdate& update, store::Revision baseRevision, TimePoint reachedAt, TimePoint now);
+    void applyUpdate(const ViewUpdate& update, ViewPosition base, TimePoint reachedAt, TimePoint now);
+    /** Takes over what other VMs retain from an earlier era. */
+    void applyRetained(const ViewUpdate& update);
+    void handleRestore(ViewPosition before, TimePoint now);
+    /** True if the view is of an older era than the newest one known. */
+    bool isOfOldEra() const { return !view_.isEmpty() && store_.eras().current() > view_.era(); }
+    void reportInvalidEras(TimePoint now);
 
     boost::asio::io_context& ioContext_;
     store::PolledStore& store_;
@@ -77,6 +84,8 @@
     telemetry::Counter& storeFailures_;
     telemetry::Counter& peerCalls_;
     telemetry::Counter& peerFailures_;
+    telemetry::Counter& restores_;
+    telemetry::Counter& invalidEras_;
     const TimePoint startedAt_;
     StoreView view_;
     bool storeRequestPending_ = false;
@@ -92,6 +101,9 @@
     TimePoint lastFailedCallAt_ {};
     /** Latest time at which the store is known to have answered, to this VM or to one that it polls. */
     TimePoint storeReachedAt_;
+    /** Until then, other VMs are asked for entries that they retain. */
+    TimePoint retainedWantedUntil_ {};
+    std::optional<TimePoint> invalidEraLoggedAt_;
     bool peerFailing_ = false;
     ListenAddress peerAddress_;
     std::shared_ptr<store::HttpClient> peerClient_;
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -46,6 +46,8 @@
         return "upstream removal deferred";
     case upstreams::RegistryEvent::Removed:
         return "upstream removed";
+    case upstreams::RegistryEvent::CopyIgnored:
+        return "upstream entry of the restored store ignored, older than what is known";
     }
     return "upstream changed";
 }
--- a/libs/gateway/src/view_codec.h
+++ b/libs/gateway/src/view_codec.h
@@ -22,4 +22,19 @@
  */
 std::optional<ViewUpdate> decodeUpdate(std::string_view bytes, TimePoint requestedAt, Error& reason);
 
+/** Path at which a VM serves its view to other VMs, without the query. */
+constexpr std::string_view relayPath = "/changes";
+
+/** The part of another VM's view that a VM has. */
+struct RelayQuestion {
+    ViewPosition known;
+    /** StoreView::retainedDigest() of the asking VM. */
+    std::uint64_t knownRetained = 0;
+};
+
+/** HTTP request target of a question for changes; era and digest are left out while they are zero. */
+std::string encodeQuestion(const RelayQuestion& question);
+/** Decodes the output of encodeQuestion(); empty for another path or an unreadable number. */
+std::optional<RelayQuestion> decodeQuestion(std::string_view target);
+
 } // namespace banyancroft::gateway
--- a/libs/upstreams/include/upstreams/registry.h
+++ b/libs/upstreams/include/upstreams/registry.h
@@ -57,6 +57,8 @@
     /** The entry was removed in the grace period after an outage; the replica stays in use until its end. */
     RemovalDeferred,
     Removed,
+    /** An entry of the copy from which the store was restored is older than what is known and has no effect. */
+    CopyIgnored,
 };
 
 /**
@@ -90,6 +92,12 @@
     void applyLeaving(const UpstreamId& id, std::uint64_t startedAtUnixMillis, TimePoint now);
     /** The store answers again after an outage. */
     void storeRecovered(TimePoint now);
+    /**
+     * The store was restored from a copy, whose listing comes next. Removals are deferred as after an outage.
+     * For some minutes, listed entries do not bring back a run of a replica that was removed or draining
+     * before, unless the replica has registered again since then.
+     */
+    void storeRestored(TimePoint now);
     /** Applies the deferred removals once the grace period is over; to be called about once a second. */
     void applyDeferredRemovals(TimePoint now);
 
--- a/libs/upstreams/src/registry.cpp
+++ b/libs/upstreams/src/registry.cpp
@@ -50,7 +50,7 @@
         if (!byId_.contains(id.str()))
             return;
         if (now >= graceUntil_)
-            return removeNow(id);
+            return removeNow(id, now);
         // A later recovery does not extend the deferral.
         if (deferredRemovals_.emplace(id.str(), graceUntil_).second)
             listener_(RegistryEvent::RemovalDeferred, *byId_.find(id.str())->second);
@@ -61,7 +61,13 @@
         std::set<std::string_view> listed;
         for (const auto& record : records) {
             listed.insert(record.id.view());
-            put(record, now);
+            if (isFromCopy(record, now)) {
+                Upstream ignored;
+                ignored.record = record;
+                listener_(RegistryEvent::CopyIgnored, ignored);
+            } else {
+                put(record, now);
+            }
         }
         std::vector<UpstreamId> missing;
         for (const auto& [id, upstream] : byId_) {
@@ -81,7 +87,7 @@
                 continue;
             }
             if (byId_.contains(id))
-                removeNow(UpstreamId(id));
+                removeNow(UpstreamId(id), now);
             removal = deferredRemovals_.erase(removal);
         }
     }
@@ -118,6 +124,11 @@
         TimePoint heardAt {};
     };
 
+    struct RemovedRun {
+        UpstreamRecord record;
+        TimePoint removedAt {};
+    };
+
     const Duration recoveryGrace_;
     const Listener listener_;
     StringMap<UpstreamPointer> byId_;
@@ -126,12 +137,45 @@
     std::map<std::string, TimePoint> deferredRemovals_;
     /** By id, also after the entry was removed, since it may be registered once more. */
     std::map<std::string, LeavingRun> leavingRuns_;
+    /** Last runs of removed replicas, by id. */
+    std::map<std::string, RemovedRun> removedRuns_;
     TimePoint graceUntil_ {};
+    std::optional<TimePoint> restoredAt_;
     std::uint64_t lastNumber_ = 0;
 
 private:
     /** A replica has ended long before this time after it said that it is leaving. */
     static constexpr Duration leavingMemory = std::chrono::minutes(10);
+    /** Copies are some seconds old, and entries that are not written again end with their leases. */
+    static constexpr Duration removalMemory = std::chrono::minutes(10);
+
+    void rememberRemoval(const UpstreamRecord& record, TimePoint now)
+    {
+        std::erase_if(removedRuns_,
+            [now](const auto& entry) { return now - entry.second.removedAt >= removalMemory; });
+        removedRuns_[record.id.str()] = { record, now };
+    }
+
+    /** True if the record was written before, or is, the known state of a replica. */
+    static bool isCoveredBy(const UpstreamRecord& record, const UpstreamRecord& known)
+    {
+        if (record.startedAtUnixMillis != known.startedAtUnixMillis)
+            return record.startedAtUnixMillis < known.startedAtUnixMillis;
+        return !isRestart(record, known) && record.sequence <= known.sequence;
+    }
+
+    /** True if a listed entry comes from the copy of a restored store and must not undo what came later. */
+    bool isFromCopy(const UpstreamRecord& record, TimePoint now) const
+    {
+        if (!restoredAt_ || now - *restoredAt_ >= removalMemory)
+            return false;
+        const auto id = record.id.str();
+        if (const auto removed = removedRuns_.find(id); removed != removedRuns_.end())
+            return removed->second.removedAt <= *restoredAt_ && isCoveredBy(record, removed->second.record);
+        const auto known = byId_.find(id);
+        return known != byId_.end() && isCoveredBy(record, known->second->record)
+            && (deferredRemovals_.contains(id) || record.sequence < known->second->record.sequence);
+    }
 
     void rememberLeaving(const UpstreamRecord& record, TimePoint now)
     {
@@ -168,6 +212,7 @@
         upstream->isLeaving = hasSaidLeaving(record);
         upstream->usable = !record.draining && !upstream->isLeaving;
         byId_[record.id.str()] = upstream;
+        removedRuns_.erase(record.id.str());
         if (upstream->usable)
             byService_[record.service.str()].push_back(upstream);
         listener_(upstream->usable ? event : RegistryEvent::Draining, *upstream);
@@ -189,9 +234,10 @@
         return upstream;
     }
 
-    void removeNow(const UpstreamId& id)
+    void removeNow(const UpstreamId& id, TimePoint now)
     {
         const auto upstream = retire(id);
+        rememberRemoval(upstream->record, now);
         listener_(RegistryEvent::Removed, *upstream);
     }
 };
@@ -235,6 +281,12 @@
 
 void Registry::storeRecovered(TimePoint now) { impl_->graceUntil_ = now + impl_->recoveryGrace_; }
 
+void Registry::storeRestored(TimePoint now)
+{
+    storeRecovered(now);
+    impl_->restoredAt_ = now;
+}
+
 void Registry::applyDeferredRemovals(TimePoint now) { impl_->applyDeferredRemovals(now); }
 
 std::span<const UpstreamPointer> Registry::upstreams(const ServiceId& service) const
