Check the gateway after a restore by its metrics

The test waited for an answer of the new replica, which the placement of a calm gateway selects only after the other one is removed. It now checks era and number of replicas first, then which replicas answer.

--- a/libs/gateway/tests/test_store_era.cpp
+++ b/libs/gateway/tests/test_store_era.cpp
@@ -311,8 +311,22 @@
     const auto requestsOfGone = gone.receivedRequests();
     fixture.store.restore(copy);
     fixture.replica("ledger", "new", serves("new"));
-    BOOST_TEST(callUntilAnswerOf("new"));
-    // The copy lacks "lost", which stays in use for the grace period.
+    // The copy lacks "lost", which stays in use for the grace period; "new" is used after it.
+    const auto hasMetric = [&](const std::string& line) {
+        return fixture.runCaller<bool>([&] {
+            const std::string request = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+            const auto end = BootClock::now() + 10s;
+            while (BootClock::now() < end) {
+                if (Caller(fixture.settings.metrics.port).call(request).body.find(line) != std::string::npos)
+                    return true;
+                std::this_thread::sleep_for(5ms);
+            }
+            return false;
+        });
+    };
+    BOOST_TEST(hasMetric("\nbanyancroft_store_era 1\n"));
+    BOOST_TEST(hasMetric("\nbanyancroft_gateway_upstreams 2\n"));
     BOOST_TEST(callUntilAnswerOf("lost"));
+    BOOST_TEST(callUntilAnswerOf("new"));
     BOOST_TEST(gone.receivedRequests() == requestsOfGone);
 }
