--- a/libs/gateway/src/store_sync.cpp
+++ b/libs/gateway/src/store_sync.cpp
@@ -139,7 +139,11 @@
                 { "revision", std::to_string(listing->revision.value) } });
         if (view_.isEmpty() && listing->era)
             retainedWantedUntil_ = now + retainedQueryPeriod;
+        const ViewPosition listed { listing->revision, listing->era };
         handleStoreResponse({ true, std::move(*listing), requestedAt }, {}, requestedAt, now);
+        // A store whose revisions fell without a new era would be listed again with each step.
+        if (listed.era == view_.era() && listed.revision < view_.revision())
+            nextStoreRequestAt_ = now + maxReaderRetryDelay;
     });
 }
 
