--- a/libs/upstreams/include/upstreams/health.h
+++ b/libs/upstreams/include/upstreams/health.h
@@ -40,6 +40,16 @@
     void connectFailed(bool refused, TimePoint now);
     void connected(TimePoint now);
 
+    /** Latest load report; empty before the first one. */
+    const std::optional<ReportedLoad>& lastReport() const { return lastReport_; }
+    /** Time since lastReport() was received. */
+    Duration reportAge(TimePoint now) const { return now - loadReportedAt_; }
+    /**
+     * Reported slowness of the replica's machine relative to that during the requests that relativeLatency()
+     * is derived from; exactly 1 if the replica does not report it. Approaches 1 as the report gets older.
+     */
+    double slownessFactor(TimePoint now) const;
+
     /** Requests of this VM that the replica has not answered. */
     unsigned outstanding() const { return static_cast<unsigned>(sendTimes_.size()); }
     /** True after repeated failed connections or timed-out requests without a response in between. */
@@ -86,6 +96,9 @@
     DecayingMean latencyExcess_;
     DecayingMean refusals_;
     DecayingMean failures_;
+    /** Mean of (reported slowness - 1) over the same answers as latencyExcess_. */
+    DecayingMean slownessExcess_;
+    std::optional<ReportedLoad> lastReport_;
     /** Requests of other VMs at the replica at its last load report. */
     double otherVmsLoad_ = 0;
     TimePoint loadReportedAt_ {};
--- a/libs/upstreams/include/upstreams/record.h
+++ b/libs/upstreams/include/upstreams/record.h
@@ -34,6 +34,9 @@
     /** Requests in the queue of the replica. */
     unsigned waiting = 0;
     unsigned slots = 1;
+    /** How long work takes on the replica's machine at the moment, as a multiple of its usual time; 1 if the
+     * replica does not report it. */
+    double slowness = 1;
 };
 
 } // namespace banyancroft::upstreams
--- a/libs/upstreams/src/health.cpp
+++ b/libs/upstreams/src/health.cpp
@@ -13,6 +13,12 @@
 constexpr double observationDecaySeconds = 4;
 /** Time constant of the decay of load reports: the load of other VMs changes within a few service times. */
 constexpr double loadReportDecaySeconds = 0.1;
+/** Time constant of the decay of reported slowness, which changes many times a second: an older figure says
+ * little about the next request. */
+constexpr double slownessDecaySeconds = 0.1;
+/** Range of reported slowness that is used; more is a false report or has the same effect. */
+constexpr double minSlowness = 0.1;
+constexpr double maxSlowness = 30;
 /** Bounds the effect of one very slow answer, as a multiple of the typical latency. */
 constexpr double maxLatencyExcess = 30;
 /** Cost of one full queue of waiting requests, in multiples of the replica's latency. Above 1 because the
@@ -67,6 +73,9 @@
     lastResponseAt_ = now;
     const double ratio = seconds(now - sentAt) / std::max(seconds(typicalLatency), 1e-6);
     latencyExcess_.observe(std::clamp(ratio - 1, -0.9, maxLatencyExcess), now);
+    // The report of this answer, if it had one, was passed to loadReported() just before.
+    const bool hasReport = lastReport_ && loadReportedAt_ == now;
+    slownessExcess_.observe(hasReport ? lastReport_->slowness - 1 : 0, now);
     refusals_.observe(0, now);
     failures_.observe(0, now);
 }
@@ -104,6 +113,8 @@
 {
     const double total = load.running + load.waiting;
     otherVmsLoad_ = std::max(0.0, total - static_cast<double>(outstanding()) - 1);
+    lastReport_ = load;
+    lastReport_->slowness = std::clamp(load.slowness, minSlowness, maxSlowness);
     loadReportedAt_ = now;
 }
 
@@ -151,6 +162,17 @@
     return otherVmsLoad_ * std::exp(-seconds(now - loadReportedAt_) / loadReportDecaySeconds);
 }
 
+double UpstreamHealth::slownessFactor(TimePoint now) const
+{
+    const double usual = 1 + slownessExcess_.value(now);
+    const double slowness = lastReport_ ? lastReport_->slowness : 1;
+    if (slowness == usual)
+        return 1;
+    // Observed latency already contains the usual slowness, so only the difference to it counts. A replica
+    // that always reports the same figure is thus judged by its latency alone.
+    return 1 + (slowness / usual - 1) * std::exp(-seconds(reportAge(now)) / slownessDecaySeconds);
+}
+
 double UpstreamHealth::relativeLatency(TimePoint now) const { return 1 + latencyExcess_.value(now); }
 
 Duration UpstreamHealth::expectedDelay(unsigned slots, Duration typicalLatency, TimePoint now) const
@@ -158,7 +180,7 @@
     const double ahead = otherVmsLoad(now) + outstanding();
     const double slotCount = std::max(1U, slots);
     const double queued = std::max(0.0, ahead + 1 - slotCount) / slotCount;
-    const double latencyFactor = std::max(0.1, relativeLatency(now));
+    const double latencyFactor = std::max(0.1, relativeLatency(now) * slownessFactor(now));
     const double retryCost = refusalCost * refusals_.value(now) + failureCost * failures_.value(now);
     auto delay = scaled(typicalLatency, latencyFactor * (1 + queueingCost * queued) + retryCost);
     const auto stalledFor = unansweredFor(now);
--- a/libs/upstreams/tests/test_placement.cpp
+++ b/libs/upstreams/tests/test_placement.cpp
@@ -230,6 +230,36 @@
     BOOST_TEST((old < typicalLatency + 1ms));
 }
 
+// The slowness of a machine changes many times a second: the latest figure counts at once and not for long.
+BOOST_AUTO_TEST_CASE(reportedSlownessCountsWhileItIsFresh)
+{
+    UpstreamHealth health;
+    health.loadReported({ 0, 0, 3, 4.0 }, start);
+    BOOST_TEST((health.expectedDelay(3, typicalLatency, start) == 4 * typicalLatency));
+    BOOST_TEST((health.expectedDelay(3, typicalLatency, start + 500ms) < typicalLatency + 1ms));
+    BOOST_TEST((health.reportAge(start + 500ms) == 500ms));
+}
+
+// Latency that a reported slowness explains must not count twice, and a replica that always reports the same
+// figure, false or not, is judged by its latency alone.
+BOOST_AUTO_TEST_CASE(reportedSlownessIsNotCountedOnTopOfLatency)
+{
+    UpstreamHealth health;
+    auto now = start;
+    for (int i = 0; i < 20; ++i) {
+        health.sent(now);
+        now += 4 * typicalLatency;
+        health.loadReported({ 0, 0, 3, 4.0 }, now);
+        health.answered(now - 4 * typicalLatency, now, typicalLatency);
+    }
+    const auto delay = health.expectedDelay(3, typicalLatency, now);
+    BOOST_TEST((delay > scaled(typicalLatency, 3.5)));
+    BOOST_TEST((delay < scaled(typicalLatency, 4.5)));
+    // The machine has recovered, and its replica is used again without waiting for the decay of latency.
+    health.loadReported({ 0, 0, 3, 1.0 }, now);
+    BOOST_TEST((health.expectedDelay(3, typicalLatency, now) < scaled(typicalLatency, 1.2)));
+}
+
 BOOST_AUTO_TEST_CASE(requestsToColdReplicaStayWithinTheirLimitInAnySecond)
 {
     ColdRequestLimiter limiter(start - 10s);
