Estimate the useful concurrency of replicas for placement

Cause: some replicas slow down long before all their slots are taken, and placement filled the slots before it expected a queue. Latency that came from load counted as speed of the replica for seconds.

Change: upstreams::CapacityEstimate compares the latency of answers at low and at high load, relative to the recent level of the replica, and takes the difference into account only beyond what chance explains. expectedDelay() uses the useful concurrency instead of the slots, and the mean latency leaves out what the load explains. Reported slowness counts as far as it has predicted latency. Requests that met a stall or a queue are left out. A change of state of a replica is logged and counted.

--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -74,6 +74,8 @@
           "banyancroft_gateway_upstream_rests_total", "Responses with which replicas asked for no requests"))
     , malformedStatements(metrics.counter("banyancroft_gateway_malformed_statements_total",
           "Responses with unreadable header fields about the replica"))
+    , capacityReductions(metrics.counter("banyancroft_gateway_capacity_reductions_total",
+          "Times that a replica was found to slow down before its slots are taken"))
     , connections(metrics.counter("banyancroft_gateway_connections_total", "Connections opened to replicas"))
     , droppedLines(metrics.counter("banyancroft_gateway_log_dropped_total", "Request lines not written"))
     , offers(metrics.counter("banyancroft_handover_offers_total", "Requests offered to dispatchers"))
@@ -232,7 +234,7 @@
     case ResponseKind::Result:
         upstream->isReturning = upstream->isResting(now);
         metrics_.upstreamSeconds.record(now - sentAt);
-        return health.answered(sentAt, now, typical);
+        return recordAnswer(*upstream, sentAt, typical, now);
     case ResponseKind::Misdirected:
         // The address belongs to another replica until the registration changes.
         upstream->misdirected = true;
@@ -249,6 +251,24 @@
     }
 }
 
+void TrafficManager::recordAnswer(
+    upstreams::Upstream& upstream, TimePoint sentAt, Duration typical, TimePoint now)
+{
+    const auto slots = upstream.record.slots;
+    const bool wasLimited = upstream.health.usefulConcurrency(slots, now) < slots;
+    upstream.health.answered(sentAt, now, typical, slots);
+    const double useful = upstream.health.usefulConcurrency(slots, now);
+    const bool isLimited = useful < slots;
+    if (isLimited == wasLimited)
+        return;
+    if (isLimited)
+        metrics_.capacityReductions.add();
+    requestLog_.logStep(now,
+        isLimited ? "upstream slows down before its slots are taken" : "upstream handles all its slots",
+        { { "upstream", upstream.record.id.str() }, { "slots", std::to_string(slots) },
+            { "useful_slots", std::to_string(useful) } });
+}
+
 void TrafficManager::applyStatement(
     const upstreams::UpstreamPointer& upstream, const http::ResponseHead& head, TimePoint now)
 {
--- a/libs/gateway/src/traffic_manager.h
+++ b/libs/gateway/src/traffic_manager.h
@@ -48,6 +48,7 @@
     telemetry::Counter& upstreamFailures;
     telemetry::Counter& rests;
     telemetry::Counter& malformedStatements;
+    telemetry::Counter& capacityReductions;
     telemetry::Counter& connections;
     telemetry::Counter& droppedLines;
     telemetry::Counter& offers;
@@ -171,6 +172,8 @@
     void removeUnusedPools();
     /** Requests per second that this VM may send to the replica while it is cold. */
     double coldRate(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const;
+    /** Updates the health of a replica that has answered and reports a change of its useful concurrency. */
+    void recordAnswer(upstreams::Upstream& upstream, TimePoint sentAt, Duration typical, TimePoint now);
     /** Applies what the replica says of itself in a response. */
     void applyStatement(
         const upstreams::UpstreamPointer& upstream, const http::ResponseHead& head, TimePoint now);
--- a/libs/upstreams/include/upstreams/health.h
+++ b/libs/upstreams/include/upstreams/health.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "upstreams/capacity_estimate.h"
 #include "upstreams/record.h"
 
 #include <optional>
@@ -17,14 +18,21 @@
  */
 class UpstreamHealth {
 public:
+    /** @param estimatesCapacity false judges the replica by latency and reported load alone */
+    explicit UpstreamHealth(bool estimatesCapacity = true)
+        : estimatesCapacity_(estimatesCapacity)
+    {
+    }
+
     /** A request was written to the replica. */
     void sent(TimePoint now);
     /**
      * The replica answered a request.
      * @param sentAt time given to sent()
      * @param typicalLatency median latency of such requests over all replicas of the service
+     * @param slots requests that the replica processes concurrently; with 1, its capacity is not estimated
      */
-    void answered(TimePoint sentAt, TimePoint now, Duration typicalLatency);
+    void answered(TimePoint sentAt, TimePoint now, Duration typicalLatency, unsigned slots = 1);
     /** The replica refused a request that it did not run. */
     void refused(TimePoint sentAt, TimePoint now);
     /** A request failed: an error answer, a broken connection or malformed bytes. */
@@ -49,9 +57,14 @@
      * is derived from; exactly 1 if the replica does not report it. Approaches 1 as the report gets older.
      */
     double slownessFactor(TimePoint now) const;
+    /** Requests in progress that the replica handles well, 1 to `slots`. */
+    double usefulConcurrency(unsigned slots, TimePoint now) const
+    {
+        return estimatesCapacity_ ? capacity_.usefulConcurrency(slots, now) : slots;
+    }
 
     /** Requests of this VM that the replica has not answered. */
-    unsigned outstanding() const { return static_cast<unsigned>(sendTimes_.size()); }
+    unsigned outstanding() const { return static_cast<unsigned>(outstanding_.size()); }
     /** True after repeated failed connections or timed-out requests without a response in between. */
     bool isSuspect(TimePoint now) const;
     /** True while it is uncertain whether the replica is alive and a probe connection should be opened. */
@@ -85,13 +98,27 @@
         TimePoint observedAt_ {};
     };
 
-    void removeSendTime(TimePoint sentAt);
+    /** A request that has been sent and not answered. */
+    struct Outstanding {
+        TimePoint sentAt;
+        /** Requests of this VM in progress at the replica, with this one, when it was sent. */
+        unsigned inProgress;
+    };
+
+    /** Returns the number of requests of this VM that were in progress when the request was sent. */
+    unsigned removeOutstanding(TimePoint sentAt);
     /** Time since the oldest unanswered request was sent or the last response arrived, whichever is later;
      * zero without unanswered requests. */
     Duration unansweredFor(TimePoint now) const;
+    /** True if requests are unanswered for much longer than the replica usually takes. */
+    bool isStalled(Duration typicalLatency, TimePoint now) const;
     double otherVmsLoad(TimePoint now) const;
 
-    std::vector<TimePoint> sendTimes_;
+    bool estimatesCapacity_;
+    std::vector<Outstanding> outstanding_;
+    CapacityEstimate capacity_;
+    /** Requests sent before this time met a stall and say nothing about the capacity. */
+    TimePoint stallEndedAt_ {};
     /** Mean of (latency / typicalLatency - 1). */
     DecayingMean latencyExcess_;
     DecayingMean refusals_;
--- a/libs/upstreams/src/health.cpp
+++ b/libs/upstreams/src/health.cpp
@@ -28,6 +28,8 @@
 constexpr double refusalCost = 20;
 /** Cost of a failure in typical latencies; higher than a refusal because it is detected later. */
 constexpr double failureCost = 30;
+/** Least latency that is expected, in typical latencies. */
+constexpr double minLatencyFactor = 0.1;
 /** A replica counts as stalled when a request is unanswered for this multiple of its expected latency. */
 constexpr double stallFactor = 4;
 /** Shortest time without an answer that counts as a stall; shorter times are scheduling noise. */
@@ -57,32 +59,46 @@
     return value_ * std::exp(-seconds(now - observedAt_) / observationDecaySeconds);
 }
 
-void UpstreamHealth::sent(TimePoint now) { sendTimes_.push_back(now); }
+void UpstreamHealth::sent(TimePoint now) { outstanding_.push_back({ now, outstanding() + 1 }); }
 
-void UpstreamHealth::removeSendTime(TimePoint sentAt)
+unsigned UpstreamHealth::removeOutstanding(TimePoint sentAt)
 {
-    const auto found = std::find(sendTimes_.begin(), sendTimes_.end(), sentAt);
-    if (found != sendTimes_.end())
-        sendTimes_.erase(found);
+    const auto found = std::find_if(outstanding_.begin(), outstanding_.end(),
+        [sentAt](const Outstanding& request) { return request.sentAt == sentAt; });
+    if (found == outstanding_.end())
+        return 1;
+    const auto inProgress = found->inProgress;
+    outstanding_.erase(found);
+    return inProgress;
 }
 
-void UpstreamHealth::answered(TimePoint sentAt, TimePoint now, Duration typicalLatency)
+void UpstreamHealth::answered(TimePoint sentAt, TimePoint now, Duration typicalLatency, unsigned slots)
 {
-    removeSendTime(sentAt);
+    if (isStalled(typicalLatency, now))
+        stallEndedAt_ = now;
+    const double inProgress = removeOutstanding(sentAt) + otherVmsLoad(now);
     noResponseStreak_ = 0;
     lastResponseAt_ = now;
-    const double ratio = seconds(now - sentAt) / std::max(seconds(typicalLatency), 1e-6);
-    latencyExcess_.observe(std::clamp(ratio - 1, -0.9, maxLatencyExcess), now);
     // The report of this answer, if it had one, was passed to loadReported() just before.
     const bool hasReport = lastReport_ && loadReportedAt_ == now;
-    slownessExcess_.observe(hasReport ? lastReport_->slowness - 1 : 0, now);
+    const double slowness = hasReport ? lastReport_->slowness : 1;
+    double ratio = seconds(now - sentAt) / std::max(seconds(typicalLatency), 1e-6);
+    if (estimatesCapacity_) {
+        const bool hadQueue = hasReport && lastReport_->waiting > 0;
+        if (sentAt >= stallEndedAt_ && !hadQueue)
+            capacity_.observe({ ratio, inProgress, slowness, slots }, now);
+        // What the load explains says nothing about the speed at other loads.
+        ratio /= capacity_.loadFactor(inProgress, slots, now);
+    }
+    latencyExcess_.observe(std::clamp(ratio - 1, -0.9, maxLatencyExcess), now);
+    slownessExcess_.observe(slowness - 1, now);
     refusals_.observe(0, now);
     failures_.observe(0, now);
 }
 
 void UpstreamHealth::refused(TimePoint sentAt, TimePoint now)
 {
-    removeSendTime(sentAt);
+    removeOutstanding(sentAt);
     noResponseStreak_ = 0;
     lastResponseAt_ = now;
     refusals_.observe(1, now);
@@ -90,15 +106,15 @@
 
 void UpstreamHealth::failed(TimePoint sentAt, TimePoint now)
 {
-    removeSendTime(sentAt);
+    removeOutstanding(sentAt);
     failures_.observe(1, now);
 }
 
-void UpstreamHealth::abandoned(TimePoint sentAt) { removeSendTime(sentAt); }
+void UpstreamHealth::abandoned(TimePoint sentAt) { removeOutstanding(sentAt); }
 
 void UpstreamHealth::timedOut(TimePoint sentAt, TimePoint now)
 {
-    removeSendTime(sentAt);
+    removeOutstanding(sentAt);
     // A response after the send shows that the replica is alive and only this request was slow or lost.
     if (lastResponseAt_ > sentAt) {
         failures_.observe(1, now);
@@ -148,11 +164,12 @@
 
 Duration UpstreamHealth::unansweredFor(TimePoint now) const
 {
-    if (sendTimes_.empty())
+    if (outstanding_.empty())
         return {};
     // A response after the oldest send shows that the replica is still working.
-    const auto oldest = *std::min_element(sendTimes_.begin(), sendTimes_.end());
-    return now - std::max(oldest, lastResponseAt_);
+    const auto oldest = std::min_element(outstanding_.begin(), outstanding_.end(),
+        [](const Outstanding& left, const Outstanding& right) { return left.sentAt < right.sentAt; });
+    return now - std::max(oldest->sentAt, lastResponseAt_);
 }
 
 double UpstreamHealth::otherVmsLoad(TimePoint now) const
@@ -166,11 +183,21 @@
 {
     const double usual = 1 + slownessExcess_.value(now);
     const double slowness = lastReport_ ? lastReport_->slowness : 1;
-    if (slowness == usual)
+    if (slowness == usual || !estimatesCapacity_)
         return 1;
     // Observed latency already contains the usual slowness, so only the difference to it counts. A replica
     // that always reports the same figure is thus judged by its latency alone.
-    return 1 + (slowness / usual - 1) * std::exp(-seconds(reportAge(now)) / slownessDecaySeconds);
+    const double factor = std::pow(slowness / usual, capacity_.slownessTrust());
+    return 1 + (factor - 1) * std::exp(-seconds(reportAge(now)) / slownessDecaySeconds);
+}
+
+bool UpstreamHealth::isStalled(Duration typicalLatency, TimePoint now) const
+{
+    const auto silentFor = unansweredFor(now);
+    if (silentFor <= minStall)
+        return false;
+    const double latencyFactor = std::max(minLatencyFactor, relativeLatency(now) * slownessFactor(now));
+    return silentFor > scaled(typicalLatency, stallFactor * latencyFactor);
 }
 
 double UpstreamHealth::relativeLatency(TimePoint now) const { return 1 + latencyExcess_.value(now); }
@@ -178,15 +205,14 @@
 Duration UpstreamHealth::expectedDelay(unsigned slots, Duration typicalLatency, TimePoint now) const
 {
     const double ahead = otherVmsLoad(now) + outstanding();
-    const double slotCount = std::max(1U, slots);
-    const double queued = std::max(0.0, ahead + 1 - slotCount) / slotCount;
-    const double latencyFactor = std::max(0.1, relativeLatency(now) * slownessFactor(now));
+    const double useful = std::max(1.0, usefulConcurrency(slots, now));
+    const double queued = std::max(0.0, ahead + 1 - useful) / useful;
+    const double latencyFactor = std::max(minLatencyFactor, relativeLatency(now) * slownessFactor(now));
     const double retryCost = refusalCost * refusals_.value(now) + failureCost * failures_.value(now);
     auto delay = scaled(typicalLatency, latencyFactor * (1 + queueingCost * queued) + retryCost);
-    const auto stalledFor = unansweredFor(now);
     // A stalled replica is expected to stay stalled for about as long again.
-    if (stalledFor > std::max(minStall, scaled(typicalLatency, stallFactor * latencyFactor)))
-        delay += stalledFor;
+    if (isStalled(typicalLatency, now))
+        delay += unansweredFor(now);
     return delay;
 }
 
