Compare latencies only where a replica has high load

Change: answers at low load are taken into account only beside recent ones at high load. The members that placement reads lie together.

The upstreams tests pass.

--- a/libs/upstreams/include/upstreams/capacity_estimate.h
+++ b/libs/upstreams/include/upstreams/capacity_estimate.h
@@ -70,22 +70,23 @@
         double inProgress = 0;
     };
 
+    void compare(double logLatency, double inProgress, unsigned slots, TimePoint now);
     /** Useful concurrency according to the recent answers alone. */
     double measuredConcurrency(unsigned slots) const;
     void observeSlowness(double logLatency, double logSlowness);
 
-    LoadClass light_;
+    /** Useful concurrency at the time of the last comparison; infinite if all slots are useful. */
+    double limit_ = std::numeric_limits<double>::infinity();
+    TimePoint observedAt_ {};
+    bool reportsSlowness_ = false;
     LoadClass heavy_;
+    LoadClass light_;
     /** Recent mean of the logarithm of latency, at any load. */
     double level_ = 0;
-    /** Useful concurrency at the time of the last answer; infinite if all slots are useful. */
-    double limit_ = std::numeric_limits<double>::infinity();
-    TimePoint observedAt_ {};
     double meanLogLatency_ = 0;
     double meanLogSlowness_ = 0;
     double slownessVariance_ = 0;
     double slownessCovariance_ = 0;
-    bool reportsSlowness_ = false;
 };
 
 } // namespace banyancroft::upstreams
--- a/libs/upstreams/include/upstreams/health.h
+++ b/libs/upstreams/include/upstreams/health.h
@@ -116,9 +116,6 @@
 
     bool estimatesCapacity_;
     std::vector<Outstanding> outstanding_;
-    CapacityEstimate capacity_;
-    /** Requests sent before this time met a stall and say nothing about the capacity. */
-    TimePoint stallEndedAt_ {};
     /** Mean of (latency / typicalLatency - 1). */
     DecayingMean latencyExcess_;
     DecayingMean refusals_;
@@ -134,6 +131,9 @@
     unsigned noResponseStreak_ = 0;
     TimePoint lastResponseAt_ {};
     TimePoint nextProbe_ {};
+    /** Requests sent before this time met a stall and say nothing about the capacity. */
+    TimePoint stallEndedAt_ {};
+    CapacityEstimate capacity_;
 };
 
 } // namespace banyancroft::upstreams
--- a/libs/upstreams/src/capacity_estimate.cpp
+++ b/libs/upstreams/src/capacity_estimate.cpp
@@ -19,6 +19,8 @@
 /** Answers of each kind that are needed to find that a replica slows down, and to keep finding so. */
 constexpr double minCount = 6;
 constexpr double minCountToKeep = 3;
+/** Weight of the answers at high load at which a comparison ends. */
+constexpr double forgottenWeight = 0.05;
 /** Standard deviations by which latencies must differ for the same. At 4, chance and short queues reduced the
  * estimate of ordinary replicas at high load in 3 of 12 trials, at 5 in 1 of 12. */
 constexpr double significance = 5;
@@ -70,7 +72,14 @@
 void CapacityEstimate::observe(const CapacitySample& sample, TimePoint now)
 {
     reportsSlowness_ = reportsSlowness_ || sample.slowness != 1;
-    if (sample.slots < 2 && !reportsSlowness_)
+    // With all slots taken latency rises because requests wait, and requests of other VMs are known with
+    // delay. Only replicas with two slots are judged with all of them taken.
+    const bool isComparable
+        = sample.slots >= 2 && sample.inProgress <= std::max(sample.slots / 2 + 1, sample.slots - 1) + 0.5;
+    const bool isHeavy = sample.inProgress > sample.slots / 2.0;
+    // Answers at low load count only beside recent ones at high load, so most answers cost nothing.
+    const bool isCompared = isComparable && (isHeavy || heavy_.weights > forgottenWeight);
+    if (!isCompared && !reportsSlowness_)
         return;
     const double logLatency
         = std::clamp(std::log(std::max(sample.latencyRatio, 1e-6)), -maxLogLatency, maxLogLatency);
@@ -80,22 +89,28 @@
         explained = slownessTrust() * logSlowness;
         observeSlowness(logLatency, logSlowness);
     }
-    // With all slots taken latency rises because requests wait, and requests of other VMs are known with
-    // delay. Only replicas with two slots are judged with all of them taken.
-    if (sample.slots < 2 || sample.inProgress > std::max(sample.slots / 2 + 1, sample.slots - 1) + 0.5)
-        return;
+    if (isCompared)
+        compare(logLatency - explained, sample.inProgress, sample.slots, now);
+}
+
+void CapacityEstimate::compare(double logLatency, double inProgress, unsigned slots, TimePoint now)
+{
+    if (heavy_.weights <= forgottenWeight) {
+        light_ = {};
+        heavy_ = {};
+        level_ = logLatency;
+    }
     const double elapsed = seconds(now - std::exchange(observedAt_, now));
     const double forgotten = std::exp(-std::min(elapsed / memorySeconds, 1 / memoryAnswers));
     light_.forget(forgotten);
     heavy_.forget(forgotten);
-    auto& loadClass = sample.inProgress > sample.slots / 2.0 ? heavy_ : light_;
-    const double deviation = logLatency - explained - level_;
+    const double deviation = logLatency - level_;
     level_ += deviation * std::min(elapsed / levelSeconds, 1 / levelAnswers);
-    loadClass.observe(deviation, sample.inProgress);
-    const double measured = measuredConcurrency(sample.slots);
-    const double limit = std::min<double>(limit_, sample.slots);
+    (inProgress > slots / 2.0 ? heavy_ : light_).observe(deviation, inProgress);
+    const double measured = measuredConcurrency(slots);
+    const double limit = std::min<double>(limit_, slots);
     limit_ = measured < limit ? measured : limit + (measured - limit) * -std::expm1(-elapsed / riseSeconds);
-    if (limit_ > sample.slots - minReduction)
+    if (limit_ > slots - minReduction)
         limit_ = std::numeric_limits<double>::infinity();
 }
 
--- a/libs/upstreams/src/health.cpp
+++ b/libs/upstreams/src/health.cpp
@@ -91,7 +91,8 @@
         ratio /= capacity_.loadFactor(inProgress, slots, now);
     }
     latencyExcess_.observe(std::clamp(ratio - 1, -0.9, maxLatencyExcess), now);
-    slownessExcess_.observe(slowness - 1, now);
+    if (slowness != 1 || slownessExcess_.value(now) != 0)
+        slownessExcess_.observe(slowness - 1, now);
     refusals_.observe(0, now);
     failures_.observe(0, now);
 }
