--- a/libs/upstreams/include/upstreams/health.h
+++ b/libs/upstreams/include/upstreams/health.h
@@ -110,8 +110,6 @@
     /** Time since the oldest unanswered request was sent or the last response arrived, whichever is later;
      * zero without unanswered requests. */
     Duration unansweredFor(TimePoint now) const;
-    /** True if requests are unanswered for much longer than the replica usually takes. */
-    bool isStalled(Duration typicalLatency, TimePoint now) const;
     double otherVmsLoad(TimePoint now) const;
 
     bool estimatesCapacity_;
@@ -131,8 +129,6 @@
     unsigned noResponseStreak_ = 0;
     TimePoint lastResponseAt_ {};
     TimePoint nextProbe_ {};
-    /** Requests sent before this time met a stall and say nothing about the capacity. */
-    TimePoint stallEndedAt_ {};
     CapacityEstimate capacity_;
 };
 
--- a/libs/upstreams/src/health.cpp
+++ b/libs/upstreams/src/health.cpp
@@ -28,8 +28,6 @@
 constexpr double refusalCost = 20;
 /** Cost of a failure in typical latencies; higher than a refusal because it is detected later. */
 constexpr double failureCost = 30;
-/** Least latency that is expected, in typical latencies. */
-constexpr double minLatencyFactor = 0.1;
 /** A replica counts as stalled when a request is unanswered for this multiple of its expected latency. */
 constexpr double stallFactor = 4;
 /** Shortest time without an answer that counts as a stall; shorter times are scheduling noise. */
@@ -74,8 +72,6 @@
 
 void UpstreamHealth::answered(TimePoint sentAt, TimePoint now, Duration typicalLatency, unsigned slots)
 {
-    if (isStalled(typicalLatency, now))
-        stallEndedAt_ = now;
     const double inProgress = removeOutstanding(sentAt) + otherVmsLoad(now);
     noResponseStreak_ = 0;
     lastResponseAt_ = now;
@@ -85,7 +81,7 @@
     double ratio = seconds(now - sentAt) / std::max(seconds(typicalLatency), 1e-6);
     if (estimatesCapacity_) {
         const bool hadQueue = hasReport && lastReport_->waiting > 0;
-        if (sentAt >= stallEndedAt_ && !hadQueue)
+        if (!hadQueue)
             capacity_.observe({ ratio, inProgress, slowness, slots }, now);
         // What the load explains says nothing about the speed at other loads.
         ratio /= capacity_.loadFactor(inProgress, slots, now);
@@ -192,15 +188,6 @@
     return 1 + (factor - 1) * std::exp(-seconds(reportAge(now)) / slownessDecaySeconds);
 }
 
-bool UpstreamHealth::isStalled(Duration typicalLatency, TimePoint now) const
-{
-    const auto silentFor = unansweredFor(now);
-    if (silentFor <= minStall)
-        return false;
-    const double latencyFactor = std::max(minLatencyFactor, relativeLatency(now) * slownessFactor(now));
-    return silentFor > scaled(typicalLatency, stallFactor * latencyFactor);
-}
-
 double UpstreamHealth::relativeLatency(TimePoint now) const { return 1 + latencyExcess_.value(now); }
 
 Duration UpstreamHealth::expectedDelay(unsigned slots, Duration typicalLatency, TimePoint now) const
@@ -208,12 +195,13 @@
     const double ahead = otherVmsLoad(now) + outstanding();
     const double useful = std::max(1.0, usefulConcurrency(slots, now));
     const double queued = std::max(0.0, ahead + 1 - useful) / useful;
-    const double latencyFactor = std::max(minLatencyFactor, relativeLatency(now) * slownessFactor(now));
+    const double latencyFactor = std::max(0.1, relativeLatency(now) * slownessFactor(now));
     const double retryCost = refusalCost * refusals_.value(now) + failureCost * failures_.value(now);
     auto delay = scaled(typicalLatency, latencyFactor * (1 + queueingCost * queued) + retryCost);
+    const auto stalledFor = unansweredFor(now);
     // A stalled replica is expected to stay stalled for about as long again.
-    if (isStalled(typicalLatency, now))
-        delay += unansweredFor(now);
+    if (stalledFor > std::max(minStall, scaled(typicalLatency, stallFactor * latencyFactor)))
+        delay += stalledFor;
     return delay;
 }
 
--- a/libs/upstreams/tests/test_capacity.cpp
+++ b/libs/upstreams/tests/test_capacity.cpp
@@ -83,16 +83,32 @@
 // stop.
 BOOST_AUTO_TEST_CASE(falseAndMissingReportsDoNoHarm)
 {
-    for (const bool reportsStop : { false, true }) {
-        Script script { .requestsPerSecond = 900 };
-        script.replicas[0].reportsSlowness = true;
-        script.replicas[0].falsify = [reportsStop](ReportedLoad load, TimePoint now) {
-            load.slowness = reportsStop ? 8 : fluctuating(0, now) * 2;
-            return reportsStop && now > start + 3s ? std::optional<ReportedLoad>() : load;
-        };
-        const Comparison result(script);
-        BOOST_TEST(result.capacity.mean <= 1.05 * result.leastDelay.mean);
-        BOOST_TEST(result.capacity.p99 <= 1.05 * result.leastDelay.p99);
+    using Falsify = decltype(ScriptedReplica::falsify);
+    const std::vector<Falsify> cases {
+        [](ReportedLoad load, TimePoint now) -> std::optional<ReportedLoad> {
+            load.slowness = fluctuating(0, now) * 2;
+            return load;
+        },
+        [](ReportedLoad load, TimePoint now) -> std::optional<ReportedLoad> {
+            load.slowness = 8;
+            return now > start + 3s ? std::optional<ReportedLoad>() : load;
+        },
+        [](ReportedLoad, TimePoint) -> std::optional<ReportedLoad> {
+            return ReportedLoad { 0, 0, 8 };
+        },
+        [](ReportedLoad, TimePoint) -> std::optional<ReportedLoad> {
+            return ReportedLoad { 8, 0, 8 };
+        },
+    };
+    for (const auto& falsify : cases) {
+        for (const double fullSpeedUpTo : { 8.0, 4.0 }) {
+            Script script { .requestsPerSecond = 1300 };
+            script.replicas[0].fullSpeedUpTo = fullSpeedUpTo;
+            script.replicas[0].falsify = falsify;
+            const Comparison result(script);
+            BOOST_TEST(result.capacity.mean <= 1.02 * result.leastDelay.mean);
+            BOOST_TEST(result.capacity.p99 <= 1.05 * result.leastDelay.p99);
+        }
     }
 }
 
