Divide requests between versions during a roll-out

Cause: the decisions of libs/rollout had no effect on requests. Change: orders, statuses and steps are decoded into StoreItem alternatives; Rollouts divides the replicas of a service for each send and records samples; RolloutWriter writes steps and status by conditional writes and collects the samples of the other dispatchers.

--- a/libs/gateway/include/gateway/settings.h
+++ b/libs/gateway/include/gateway/settings.h
@@ -58,6 +58,10 @@
     Duration minLeaseTtl = std::chrono::seconds(1);
     /** Time within which a change in the store must reach all VMs. */
     Duration maxPropagationDelay = std::chrono::seconds(3);
+    /** Fraction of the requests of a service, from order to deadline, that a bad version may receive. */
+    double maxRolloutExposure = 0.1;
+    /** Requests that a bad version may receive on top of that. */
+    double rolloutExposureSlack = 50;
     /** Processor cores available to the VM; may be fractional. */
     double processors = 1;
     /** Memory available to the process. */
--- a/libs/gateway/include/gateway/store_item.h
+++ b/libs/gateway/include/gateway/store_item.h
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "gateway/settings.h"
+#include "rollout/types.h"
 #include "routing/configuration.h"
 #include "store/store.h"
 #include "upstreams/registry.h"
@@ -36,12 +37,28 @@
     std::optional<MemberRecord> record;
 };
 
+/** An operator has ordered a roll-out or, without an order, withdrawn it. */
+struct RolloutOrder {
+    ServiceId service;
+    std::optional<rollout::Order> order;
+};
+
+struct RolloutStatus {
+    ServiceId service;
+    std::optional<rollout::Status> status;
+};
+
+struct RolloutStep {
+    ServiceId service;
+    std::optional<rollout::Step> step;
+};
+
 /** A key that the gateway does not use. */
 struct IgnoredKey { };
 
 /** Decoded entry of the store. */
 using StoreItem = std::variant<IgnoredKey, routing::Configuration, upstreams::RegistryChange,
-    ZoneEvacuationChange, MemberChange>;
+    ZoneEvacuationChange, MemberChange, RolloutOrder, RolloutStatus, RolloutStep>;
 
 /** Layout and encoding of the gateway's data in the store. */
 struct StoreLayout {
@@ -51,6 +68,11 @@
     std::string memberPrefix;
     /** Encodes the value under which a VM registers. */
     std::function<std::string(const MemberRecord&)> encodeMember;
+    /** Keys and values under which the progress of a roll-out is written. */
+    std::function<std::string(const ServiceId&)> rolloutStatusKey;
+    std::function<std::string(const ServiceId&)> rolloutStepKey;
+    std::function<std::string(const rollout::Status&)> encodeRolloutStatus;
+    std::function<std::string(const rollout::Step&)> encodeRolloutStep;
     /** Decodes an entry; empty with a reason when the value is malformed. Such an entry is ignored. */
     std::function<std::optional<StoreItem>(const store::KeyValue&, Error&)> decode;
     /** Decodes the deletion of a key. */
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -7,6 +7,7 @@
 #include "planned_stop.h"
 #include "readiness.h"
 #include "request_runner.h"
+#include "rollout_writer.h"
 #include "run_after.h"
 #include "store_sync.h"
 #include "telemetry/log.h"
@@ -75,6 +76,7 @@
               layout_.encodeMember(
                   { settings_.zone, settings_.relay, settings_.handover, settings_.processors }),
               std::max<Duration>(settings_.minLeaseTtl, registrationLease))
+        , rolloutWriter_(ioContext, traffic_, members_, store, layout_, metrics_)
         , callerListener_(ioContext, settings_.maxSockets / callerSocketDivisor,
               [this](const CallerRequest& request) { serveCaller(request); })
         , readinessListener_(ioContext, maxProbeConnections,
@@ -204,6 +206,11 @@
     {
         http::Response response;
         const auto& target = request.head.target;
+        if (target == rolloutSamplesPath) {
+            response.fields.emplace_back("Content-Type", "application/msgpack");
+            response.body = rolloutWriter_.encodeSamples();
+            return request.connection->respond(response, false);
+        }
         const auto known = target.starts_with(relayPath)
             ? http::parseNumber(std::string_view(target).substr(relayPath.size()))
             : std::nullopt;
@@ -242,6 +249,7 @@
         std::vector<upstreams::UpstreamRecord> records;
         std::set<AvailabilityZone> evacuatedZones;
         std::map<VmId, MemberRecord> vms;
+        RolloutListing rollouts;
         for (const auto& entry : entries) {
             auto item = decode(entry);
             if (auto* configuration = std::get_if<routing::Configuration>(&item))
@@ -252,7 +260,9 @@
                 evacuatedZones.insert(zone->zone);
             if (auto* member = std::get_if<MemberChange>(&item); member && member->record)
                 vms[member->vm] = std::move(*member->record);
+            rollouts.add(item);
         }
+        traffic_.rollouts().applyListing(std::move(rollouts), now);
         traffic_.registry().applyListing(records, now);
         setEvacuatedZones(std::move(evacuatedZones));
         members_.replaceAll(vms, now);
@@ -285,6 +295,7 @@
                 members_.remove(member->vm, now);
             }
         }
+        traffic_.rollouts().apply(item, now);
     }
 
     void setEvacuatedZones(std::set<AvailabilityZone> zones)
@@ -415,6 +426,7 @@
         const auto now = BootClock::now();
         sync_.step(now);
         traffic_.tick(now);
+        rolloutWriter_.tick(sync_.age(now), now);
         // Without a first listing, requests are refused from here on instead of being kept waiting.
         if (!hasListing_ && now - startedAt_ > maxInitialListingWait)
             callerListener_.startAccepting();
@@ -439,6 +451,7 @@
     MemberTracker members_;
     StoreSync sync_;
     Registration registration_;
+    RolloutWriter rolloutWriter_;
     HttpListener callerListener_;
     HttpListener readinessListener_;
     HttpListener metricsListener_;
--- a/libs/gateway/src/membership.cpp
+++ b/libs/gateway/src/membership.cpp
@@ -90,6 +90,16 @@
     return found != members_.end() && found->second.countedUntil == TimePoint::max();
 }
 
+std::optional<unsigned> MemberTracker::rankFor(std::string_view name) const
+{
+    if (!dispatching_)
+        return std::nullopt;
+    const auto own = rendezvousWeight(self_, name);
+    return static_cast<unsigned>(std::count_if(members_.begin(), members_.end(), [&](const auto& entry) {
+        return entry.first != self_ && isRegistered(entry.first) && rendezvousWeight(entry.first, name) > own;
+    }));
+}
+
 std::vector<Dispatcher> MemberTracker::otherDispatchers(const AvailabilityZone& zone) const
 {
     std::vector<Dispatcher> dispatchers;
--- a/libs/gateway/src/membership.h
+++ b/libs/gateway/src/membership.h
@@ -45,6 +45,9 @@
     /** Other registered VMs of an availability zone that take over requests. */
     std::vector<Dispatcher> otherDispatchers(const AvailabilityZone& zone) const;
     bool isRegistered(const VmId& vm) const;
+    /** Position of this VM among the registered dispatchers for a name, by rendezvous hashing; 0 is the
+     * first, empty if this VM does not dispatch. */
+    std::optional<unsigned> rankFor(std::string_view name) const;
     /** Number of the other dispatchers of the zone that stay before this VM does when the tier shrinks.
      * @param processors cores of this VM */
     std::size_t dispatchersAhead(const AvailabilityZone& zone, double processors) const;
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -200,9 +200,10 @@
     const Step& step, std::span<const std::uint64_t> tried, TimePoint now)
 {
     const auto& service = serviceOf(step.shard);
+    const TrafficManager::SendIdentity identity { requestId_, !tried.empty() };
     upstreams::Placement placement;
     if (!step.sameUpstream) {
-        placement = traffic_.place(service, typicalResponseTime(), tried, *routes_, now);
+        placement = traffic_.place(service, typicalResponseTime(), tried, *routes_, identity, now);
         if (placement.upstream || placement.canWait)
             return placement;
     }
@@ -211,7 +212,7 @@
         return placement;
     if (now >= *resendAt)
         return traffic_.place(service, typicalResponseTime(),
-            excludedUpstreams(attempts_, step.shard, plan_->rules().idempotent), *routes_, now);
+            excludedUpstreams(attempts_, step.shard, plan_->rules().idempotent), *routes_, identity, now);
     placement.canWait = true;
     return placement;
 }
@@ -343,7 +344,8 @@
             attempt->ended = true;
             attempt->endedAt = at;
             attempt->connection.reset();
-            traffic.recordOutcome(attempt->upstream, attempt->sentAt, typicalTime, outcome, response, at);
+            traffic.recordOutcome(
+                attempt->upstream, history.route, attempt->sentAt, typicalTime, outcome, response, at);
             if (response && classifyResponse(response->head, traffic.dialect()) == ResponseKind::Result)
                 history.responseTimes.observe(at - attempt->sentAt);
             if (const auto self = weak.lock())
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -74,6 +74,8 @@
           "banyancroft_gateway_upstream_rests_total", "Responses with which replicas asked for no requests"))
     , malformedStatements(metrics.counter("banyancroft_gateway_malformed_statements_total",
           "Responses with unreadable header fields about the replica"))
+    , targetVersionRequests(metrics.counter("banyancroft_rollout_target_requests_total",
+          "Requests sent to replicas of a version that is being rolled out"))
     , connections(metrics.counter("banyancroft_gateway_connections_total", "Connections opened to replicas"))
     , droppedLines(metrics.counter("banyancroft_gateway_log_dropped_total", "Request lines not written"))
     , offers(metrics.counter("banyancroft_handover_offers_total", "Requests offered to dispatchers"))
@@ -103,6 +105,7 @@
           [this](upstreams::RegistryEvent event, const upstreams::Upstream& upstream) {
               registryChanged(event, upstream);
           })
+    , rollouts_({ settings.maxRolloutExposure, settings.maxPropagationDelay })
     , responseMemory_(settings.memoryBytes / responseMemoryDivisor)
     , random_(std::random_device {}())
 {
@@ -172,7 +175,8 @@
 }
 
 upstreams::Placement TrafficManager::place(const ServiceId& service, Duration typical,
-    std::span<const std::uint64_t> excluded, const routing::RouteTable& routes, TimePoint now)
+    std::span<const std::uint64_t> excluded, const routing::RouteTable& routes, const SendIdentity& identity,
+    TimePoint now)
 {
     const auto* declared = routes.service(service);
     const auto candidates = registry_.upstreams(service);
@@ -203,12 +207,36 @@
     request.typicalLatency = typical;
     request.ownZone = settings_.zone;
     request.excluded = excluded;
-    return upstreams::place(candidates, registry_, request, hooks, now);
+    const auto* division = rollouts_.division(service);
+    if (!division)
+        return upstreams::place(candidates, registry_, request, hooks, now);
+    const auto versions
+        = Rollouts::candidates(*division, service, candidates, identity.requestId, identity.isRepeat);
+    auto placement = upstreams::place(versions.preferred, registry_, request, hooks, now);
+    if (placement.upstream || versions.fallback.empty() || (placement.canWait && !versions.withoutWaiting))
+        return placement;
+    return upstreams::place(versions.fallback, registry_, request, hooks, now);
 }
 
-void TrafficManager::recordOutcome(const upstreams::UpstreamPointer& upstream, TimePoint sentAt,
-    Duration typical, ExchangeOutcome outcome, const ExchangeResponse* response, TimePoint now)
+void TrafficManager::recordSample(const upstreams::Upstream& upstream, std::string_view route,
+    TimePoint sentAt, ExchangeOutcome outcome, const ExchangeResponse* response, TimePoint now)
 {
+    if (outcome == ExchangeOutcome::Abandoned)
+        return;
+    const auto kind = response ? classifyResponse(response->head, dialect_) : ResponseKind::Failure;
+    // A request that did not run says nothing about the version.
+    if (kind == ResponseKind::Refused || kind == ResponseKind::Misdirected)
+        return;
+    const bool hasLatency = !upstream.isCold(now) && !upstream.isReturning;
+    rollouts_.record(upstream, route, kind == ResponseKind::Failure, hasLatency, sentAt, now);
+}
+
+void TrafficManager::recordOutcome(const upstreams::UpstreamPointer& upstream, std::string_view route,
+    TimePoint sentAt, Duration typical, ExchangeOutcome outcome, const ExchangeResponse* response,
+    TimePoint now)
+{
+    if (!rollouts_.isEmpty())
+        recordSample(*upstream, route, sentAt, outcome, response, now);
     auto& health = upstream->health;
     if (outcome == ExchangeOutcome::Abandoned)
         return health.abandoned(sentAt);
@@ -278,6 +306,9 @@
 {
     if (upstream.isCold(now))
         coldLimiter(upstream).sent(now);
+    const auto* division = rollouts_.division(upstream.record.service);
+    if (division && upstream.record.version == division->target)
+        metrics_.targetVersionRequests.add();
     if (upstream.record.zone != settings_.zone)
         reach_.recordOtherZoneSend(now);
 }
--- a/libs/gateway/src/traffic_manager.h
+++ b/libs/gateway/src/traffic_manager.h
@@ -6,6 +6,7 @@
 #include "gateway/settings.h"
 #include "reach_tracker.h"
 #include "request_log.h"
+#include "rollouts.h"
 #include "routing/active_configuration.h"
 #include "telemetry/metrics.h"
 #include "upstream_pool.h"
@@ -48,6 +49,7 @@
     telemetry::Counter& upstreamFailures;
     telemetry::Counter& rests;
     telemetry::Counter& malformedStatements;
+    telemetry::Counter& targetVersionRequests;
     telemetry::Counter& connections;
     telemetry::Counter& droppedLines;
     telemetry::Counter& offers;
@@ -61,6 +63,7 @@
 
 /** Statistics of a route that are kept between requests. */
 struct RouteHistory {
+    std::string_view route;
     dispatch::LatencyQuantiles responseTimes;
     /** Longest deadline of any request on the route, which is that of a caller's first attempt. */
     Duration longestDeadline {};
@@ -92,18 +95,33 @@
 
     UpstreamPool& pool(const upstreams::UpstreamPointer& upstream);
     dispatch::RetryBudget& budget(const ServiceId& service);
-    RouteHistory& history(const std::string& route) { return histories_[route]; }
+    RouteHistory& history(const std::string& route)
+    {
+        const auto entry = histories_.try_emplace(route).first;
+        entry->second.route = entry->first;
+        return entry->second;
+    }
     double uniformRandom() { return uniform_(random_); }
 
+    /** The request that a replica is selected for; decides on the version during a roll-out. */
+    struct SendIdentity {
+        std::string_view requestId;
+        /** The request was sent to the service before. */
+        bool isRepeat = false;
+    };
     upstreams::Placement place(const ServiceId& service, Duration typical,
-        std::span<const std::uint64_t> excluded, const routing::RouteTable& routes, TimePoint now);
+        std::span<const std::uint64_t> excluded, const routing::RouteTable& routes,
+        const SendIdentity& identity, TimePoint now);
+    Rollouts& rollouts() { return rollouts_; }
+    const Rollouts& rollouts() const { return rollouts_; }
     /**
      * Updates the health of a replica and the metrics when a request to it has ended.
+     * @param route name of the request's route
      * @param typical usual response time of such a request
      * @param response nullptr unless the replica responded
      */
-    void recordOutcome(const upstreams::UpstreamPointer& upstream, TimePoint sentAt, Duration typical,
-        ExchangeOutcome outcome, const ExchangeResponse* response, TimePoint now);
+    void recordOutcome(const upstreams::UpstreamPointer& upstream, std::string_view route, TimePoint sentAt,
+        Duration typical, ExchangeOutcome outcome, const ExchangeResponse* response, TimePoint now);
     /** Must be called for each request sent, to limit the request rate of cold replicas. */
     void recordStart(const upstreams::Upstream& upstream, TimePoint now);
     /** Unspent retry budget of a service, from 0 (none) to 1 (sufficient for about a second of traffic). */
@@ -174,6 +192,9 @@
     /** Applies what the replica says of itself in a response. */
     void applyStatement(
         const upstreams::UpstreamPointer& upstream, const http::ResponseHead& head, TimePoint now);
+    /** Adds the end of a request to the samples of a roll-out. */
+    void recordSample(const upstreams::Upstream& upstream, std::string_view route, TimePoint sentAt,
+        ExchangeOutcome outcome, const ExchangeResponse* response, TimePoint now);
     void registryChanged(upstreams::RegistryEvent event, const upstreams::Upstream& upstream);
 
     boost::asio::io_context& ioContext_;
@@ -184,6 +205,7 @@
     RequestLog requestLog_;
     upstreams::Registry registry_;
     routing::ActiveConfiguration configuration_;
+    Rollouts rollouts_;
     /** Declared before the connections that use it. */
     ResponseMemory responseMemory_;
     std::unordered_map<std::uint64_t, std::unique_ptr<UpstreamPool>> pools_;
--- a/libs/rollout/include/rollout/rollout_driver.h
+++ b/libs/rollout/include/rollout/rollout_driver.h
@@ -25,6 +25,8 @@
     /** Fraction of the requests for the target version, 0 to 1. With 0 or 1, the other side gets none. */
     double share = 0;
     std::vector<std::string> excluded;
+    /** The target version receives nothing even if there is no other one. */
+    bool isRolledBack = false;
 
     bool operator==(const Division&) const = default;
 };
@@ -57,6 +59,8 @@
     /** Numbers of replicas that may receive requests. */
     std::size_t targetReplicas = 0;
     std::size_t otherReplicas = 0;
+    /** The target version has had more requests than its share so far; pulses are left out. */
+    bool isExposureHigh = false;
 };
 
 /**
@@ -95,6 +99,9 @@
     Duration elapsed(TimePoint now) const;
     /** True if the roll-out needs samples and steps. */
     bool isRunning() const;
+    /** True if a value may have to be written now or later. */
+    bool isOpen() const { return isRunning() || (!order_ && status_ && status_->state == State::Running); }
+    bool isWriting() const { return pending_.has_value(); }
     /** True if nothing is known about the service. */
     bool isEmpty() const { return !order_ && !status_ && !step_; }
 
--- a/libs/rollout/include/rollout/types.h
+++ b/libs/rollout/include/rollout/types.h
@@ -17,7 +17,13 @@
     std::uint64_t revision = 0;
 };
 
-enum class State { Running, Completed, RolledBack };
+enum class State {
+    Running,
+    Completed,
+    RolledBack,
+    /** A value that cannot be read; it belongs to no order and is overwritten by the next status. */
+    Unknown,
+};
 
 /** Published result of an order. */
 struct Status {
--- a/libs/rollout/src/rollout_driver.cpp
+++ b/libs/rollout/src/rollout_driver.cpp
@@ -37,7 +37,7 @@
         return;
     if (order) {
         const auto exclude = [&](const std::string& version) {
-            if (version != order->target && excluded_.size() < maxExcluded
+            if (!version.empty() && version != order->target && excluded_.size() < maxExcluded
                 && std::find(excluded_.begin(), excluded_.end(), version) == excluded_.end())
                 excluded_.push_back(version);
         };
@@ -98,9 +98,9 @@
 
 bool RolloutDriver::isStatusCurrent() const
 {
-    if (!status_ || !order_)
-        return status_.has_value();
-    return status_->target == order_->target && status_->revision > order_->revision;
+    if (!status_ || status_->state == State::Unknown)
+        return false;
+    return !order_ || (status_->target == order_->target && status_->revision > order_->revision);
 }
 
 bool RolloutDriver::isStepCurrent() const
@@ -140,13 +140,14 @@
 {
     if (!order_) {
         // The order was withdrawn; what it had not completed stays rolled back.
-        if (!status_ || status_->state == State::Completed)
+        if (!isStatusCurrent() || status_->state == State::Completed)
             return std::nullopt;
-        return Division { status_->target, 0, excludedVersions() };
+        return Division { status_->target, 0, excludedVersions(), true };
     }
-    Division division { order_->target, 0, excludedVersions() };
+    Division division { order_->target, 0, excludedVersions(), !reason_.empty() };
     if (isFinal()) {
-        division.share = status_->state == State::Completed ? 1 : 0;
+        division.isRolledBack = status_->state == State::RolledBack;
+        division.share = division.isRolledBack ? 0 : 1;
     } else if (isStepCurrent() && reason_.empty()) {
         // A VM that does not learn of the end of a pulse ends it by itself.
         const bool isPulseOver = step_->phase == Phase::Pulse
@@ -220,8 +221,9 @@
 {
     const auto plan = schedule();
     const auto all = inputs.targetReplicas + inputs.otherReplicas;
-    const auto evenShare
-        = all > 0 ? static_cast<double>(inputs.targetReplicas) / static_cast<double>(all) : 0;
+    const auto evenShare = all > 0 && !inputs.isExposureHigh
+        ? static_cast<double>(inputs.targetReplicas) / static_cast<double>(all)
+        : 0;
     const auto passed = elapsed(now);
     auto scheduled = plan.at(passed, evenShare);
     // Without a replica of the target version there is nothing to complete.
--- a/libs/upstreams/include/upstreams/record.h
+++ b/libs/upstreams/include/upstreams/record.h
@@ -26,6 +26,8 @@
     std::uint64_t sequence = 0;
     /** Unix time of the replica's start in ms; zero when not registered. */
     std::uint64_t startedAtUnixMillis = 0;
+    /** Version of the replica's program; empty when not registered. */
+    std::string version;
 };
 
 /** Load that a replica reported with an answer. */
