--- a/libs/gateway/src/rollout_writer.cpp
+++ b/libs/gateway/src/rollout_writer.cpp
@@ -25,10 +25,14 @@
 
 std::string rankName(const ServiceId& service) { return "rollout/" + service.str(); }
 
-/** Adds the samples since the totals that were merged last; the first totals of a VM are only noted. */
-void mergeTotals(ServiceRollout& rollout, const VmId& vm,
+/**
+ * Adds the samples since the totals that were merged last; the first totals of a VM are only noted.
+ * @return number of added samples
+ */
+std::uint64_t mergeTotals(ServiceRollout& rollout, const VmId& vm,
     const std::map<rollout::SampleGroup, rollout::SampleCounts>& totals, TimePoint now)
 {
+    std::uint64_t added = 0;
     const bool isFirst = !rollout.merged.contains(vm);
     auto& merged = rollout.merged[vm];
     for (const auto& [group, total] : totals) {
@@ -36,13 +40,16 @@
         // A restarted VM counts from zero.
         const bool isRestarted = total.target < known.target || total.other < known.other
             || total.targetBad < known.targetBad || total.otherBad < known.otherBad;
-        if (!isFirst && !isRestarted)
+        if (!isFirst && !isRestarted) {
+            added += total.target - known.target + total.other - known.other;
             rollout.fleet->merge(group,
                 { total.target - known.target, total.targetBad - known.targetBad, total.other - known.other,
                     total.otherBad - known.otherBad },
                 now);
+        }
         known = total;
     }
+    return added;
 }
 
 } // namespace
@@ -64,6 +71,8 @@
           "Roll-outs this VM has rolled back because of the deadline or a withdrawn order"))
     , writesFailed_(metrics.counter("banyancroft_rollout_writes_failed_total",
           "Writes of roll-outs that conflicted or were not answered"))
+    , samplesCollected_(metrics.counter(
+          "banyancroft_rollout_samples_collected_total", "Samples of other VMs that this VM has compared"))
 {
     metrics.gauge("banyancroft_rollouts_running", "Roll-outs that are running",
         [this] { return static_cast<double>(runningCount()); });
@@ -270,7 +279,7 @@
                     = { group.at(3).get<std::uint64_t>(), group.at(4).get<std::uint64_t>(),
                           group.at(5).get<std::uint64_t>(), group.at(6).get<std::uint64_t>() };
             }
-            mergeTotals(found->second, vm, totals, now);
+            samplesCollected_.add(mergeTotals(found->second, vm, totals, now));
         }
     } catch (const std::exception& error) {
         log(LogLevel::Warn, "rollout", "ignoring malformed samples of another VM",
--- a/libs/gateway/src/rollout_writer.h
+++ b/libs/gateway/src/rollout_writer.h
@@ -59,6 +59,7 @@
     telemetry::Counter& rolledBackForLatency_;
     telemetry::Counter& rolledBackOtherwise_;
     telemetry::Counter& writesFailed_;
+    telemetry::Counter& samplesCollected_;
 };
 
 } // namespace banyancroft::gateway
--- a/libs/rollout/tests/test_rollout.cpp
+++ b/libs/rollout/tests/test_rollout.cpp
@@ -78,7 +78,7 @@
 } // namespace
 
 // Guards against roll-backs of good versions by chance, and against completion after the deadline.
-BOOST_AUTO_TEST_CASE(good_version_is_completed_before_the_deadline)
+BOOST_AUTO_TEST_CASE(goodVersionIsCompletedBeforeTheDeadline)
 {
     for (const double rate : { 200.0, 20.0, 1.0, 0.05 }) {
         BOOST_TEST_CONTEXT("requests/s " << rate)
@@ -91,7 +91,7 @@
 }
 
 // Guards against roll-backs because replicas of the new version pause now and then, as all replicas do.
-BOOST_AUTO_TEST_CASE(pauses_of_single_replicas_are_no_reason)
+BOOST_AUTO_TEST_CASE(pausesOfSingleReplicasAreNoReason)
 {
     for (const unsigned seed : { 1U, 2U, 3U, 4U }) {
         BOOST_TEST_CONTEXT("seed " << seed)
@@ -111,7 +111,7 @@
 }
 
 // Guards against a bad version that goes on to receive requests, at each rate and kind of fault.
-BOOST_AUTO_TEST_CASE(version_that_is_bad_at_once_is_rolled_back)
+BOOST_AUTO_TEST_CASE(versionThatIsBadAtOnceIsRolledBack)
 {
     for (const double rate : { 400.0, 100.0, 20.0 }) {
         for (const double badShare : { 0.2, 0.5, 1.0 }) {
@@ -132,7 +132,7 @@
 }
 
 // Guards against a long good start that outweighs a later fault, also one in the last seconds.
-BOOST_AUTO_TEST_CASE(version_that_turns_bad_late_is_rolled_back)
+BOOST_AUTO_TEST_CASE(versionThatTurnsBadLateIsRolledBack)
 {
     for (const int from : { 30, 70, 90, 94 }) {
         BOOST_TEST_CONTEXT("bad from second " << from)
@@ -146,7 +146,7 @@
 }
 
 // Guards against a fault that the small share hides and that appears at the full share only.
-BOOST_AUTO_TEST_CASE(version_that_is_bad_under_load_is_rolled_back_by_the_pulses)
+BOOST_AUTO_TEST_CASE(versionThatIsBadUnderLoadIsRolledBackByThePulses)
 {
     const Run run(100, [](auto& answer, bool isTarget, auto&, auto&, Duration, const ScriptedFleet& fleet) {
         if (isTarget && fleet.latestStep && fleet.latestStep->share > 0.4)
@@ -157,7 +157,7 @@
 }
 
 // Guards against a fault of one route that the samples of the others dilute.
-BOOST_AUTO_TEST_CASE(version_that_is_bad_on_one_route_is_rolled_back)
+BOOST_AUTO_TEST_CASE(versionThatIsBadOnOneRouteIsRolledBack)
 {
     Run(100, [](auto& answer, bool isTarget, const std::string& route, auto&&...) {
         if (isTarget && route == "lookup")
@@ -166,7 +166,7 @@
 }
 
 // Guards against roll-backs because of a slow or failing zone that affects both versions, at any time.
-BOOST_AUTO_TEST_CASE(fault_of_both_versions_is_no_reason)
+BOOST_AUTO_TEST_CASE(faultOfBothVersionsIsNoReason)
 {
     for (const int from : { 10, 50, 88, 93 }) {
         BOOST_TEST_CONTEXT("zone is slow from second " << from)
--- a/libs/rollout/tests/test_rollout_driver.cpp
+++ b/libs/rollout/tests/test_rollout_driver.cpp
@@ -30,7 +30,7 @@
 } // namespace
 
 // Guards against requests that still go to the old replicas when `completed` lets these stop.
-BOOST_AUTO_TEST_CASE(all_vms_have_the_full_share_for_the_propagation_delay_before_completion)
+BOOST_AUTO_TEST_CASE(allVmsHaveTheFullShareForThePropagationDelayBeforeCompletion)
 {
     ScriptedFleet fleet(4, 40, goodAnswer);
     Duration fullSince {};
@@ -47,7 +47,7 @@
 }
 
 // Guards against a roll-out that stands still or ends twice when its driver dies, after any of its writes.
-BOOST_AUTO_TEST_CASE(another_vm_goes_on_when_the_driver_dies_at_any_write)
+BOOST_AUTO_TEST_CASE(anotherVmGoesOnWhenTheDriverDiesAtAnyWrite)
 {
     unsigned writes = 1000;
     for (unsigned diesAt = 1; diesAt < writes; ++diesAt) {
@@ -67,7 +67,7 @@
 }
 
 // Guards against a second final status when the answer to a write is lost, for each write.
-BOOST_AUTO_TEST_CASE(lost_answers_change_nothing)
+BOOST_AUTO_TEST_CASE(lostAnswersChangeNothing)
 {
     unsigned writes = 1000;
     for (unsigned lostAt = 1; lostAt < writes; ++lostAt) {
@@ -87,7 +87,7 @@
 }
 
 // Guards against two final statuses when VMs decide at the same moment, also against the driver's completion.
-BOOST_AUTO_TEST_CASE(one_final_status_is_written_if_vms_decide_at_once)
+BOOST_AUTO_TEST_CASE(oneFinalStatusIsWrittenIfVmsDecideAtOnce)
 {
     for (const int decidedAt : { 20, 57, 58, 59 }) {
         ScriptedFleet fleet(4, 0, goodAnswer);
@@ -104,7 +104,7 @@
 }
 
 // Guards against requests for a version whose order was withdrawn, and against its completion.
-BOOST_AUTO_TEST_CASE(withdrawn_order_is_rolled_back)
+BOOST_AUTO_TEST_CASE(withdrawnOrderIsRolledBack)
 {
     for (const int withdrawnAt : { 10, 50, 56 }) {
         ScriptedFleet fleet(3, 0, goodAnswer);
@@ -120,7 +120,7 @@
 }
 
 // Guards against full load for the unproven version of a replaced order, and against a lost second order.
-BOOST_AUTO_TEST_CASE(replaced_order_starts_anew_without_the_earlier_version)
+BOOST_AUTO_TEST_CASE(replacedOrderStartsAnewWithoutTheEarlierVersion)
 {
     ScriptedFleet fleet(3, 0, goodAnswer);
     fleet.order("v2", duration);
@@ -144,7 +144,7 @@
 }
 
 // Guards against a second order for a rolled-back version that is taken for the first one.
-BOOST_AUTO_TEST_CASE(rolled_back_version_may_be_ordered_again)
+BOOST_AUTO_TEST_CASE(rolledBackVersionMayBeOrderedAgain)
 {
     ScriptedFleet fleet(3, 0, goodAnswer);
     fleet.order("v2", duration);
@@ -161,7 +161,7 @@
 }
 
 // Guards against the completion of a version that nobody can serve.
-BOOST_AUTO_TEST_CASE(version_without_replicas_is_rolled_back_at_the_deadline)
+BOOST_AUTO_TEST_CASE(versionWithoutReplicasIsRolledBackAtTheDeadline)
 {
     ScriptedFleet fleet(3, 0, goodAnswer);
     fleet.targetReplicas = 0;
@@ -174,7 +174,7 @@
 }
 
 // Guards against a driver that resumes after a suspension and decides on what it knew before.
-BOOST_AUTO_TEST_CASE(vm_with_an_old_view_writes_nothing)
+BOOST_AUTO_TEST_CASE(vmWithAnOldViewWritesNothing)
 {
     RolloutDriver driver { RolloutLimits {} };
     const auto start = ScriptedFleet::at({});
@@ -186,7 +186,7 @@
 }
 
 // Guards against a pulse that goes on because the driver and the store are gone.
-BOOST_AUTO_TEST_CASE(pulse_ends_without_a_message)
+BOOST_AUTO_TEST_CASE(pulseEndsWithoutAMessage)
 {
     RolloutDriver driver { RolloutLimits {} };
     const auto start = ScriptedFleet::at({});
@@ -197,7 +197,7 @@
 }
 
 // Guards against schedules whose exposure exceeds the bound, for short and long orders and few replicas.
-BOOST_AUTO_TEST_CASE(schedule_keeps_exposure_small_until_the_final_steps)
+BOOST_AUTO_TEST_CASE(scheduleKeepsExposureSmallUntilTheFinalSteps)
 {
     for (const int length : { 1, 10, 30, 60, 120, 600, 7200 }) {
         for (const double evenShare : { 0.02, 0.25, 0.5, 0.9 }) {
