--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -213,6 +213,11 @@
     const auto versions
         = Rollouts::candidates(*division, service, candidates, identity.requestId, identity.isRepeat);
     auto placement = upstreams::place(versions.preferred, registry_, request, hooks, now);
+    if (placement.upstream && versions.withoutWaiting)
+        requestLog_.logStep(now, "request sent to the target version of a roll-out",
+            { { "id", std::string(identity.requestId) }, { "service", service.str() },
+                { "target", division->target }, { "upstream", placement.upstream->record.id.str() },
+                { "share", std::to_string(division->share) } });
     if (placement.upstream || versions.fallback.empty() || (placement.canWait && !versions.withoutWaiting))
         return placement;
     return upstreams::place(versions.fallback, registry_, request, hooks, now);
