Carry roll-outs over a restored store

Cause: a restored store reissues revisions and loses the latest writes, so an order would start anew and a final status would be lost. Result: scripted test passes; not wired until the era is known here.

--- a/libs/gateway/src/rollouts.cpp
+++ b/libs/gateway/src/rollouts.cpp
@@ -87,7 +87,7 @@
     return services_.try_emplace(id, limits_).first->second;
 }
 
-void Rollouts::apply(RolloutOrder change, TimePoint now)
+void Rollouts::apply(const RolloutOrder& change, TimePoint now)
 {
     if (!change.order && !services_.contains(change.service))
         return;
@@ -136,6 +136,12 @@
     updateDivision(change.service, rollout, now);
 }
 
+void Rollouts::storeRestored(TimePoint now)
+{
+    for (auto& [id, rollout] : services_)
+        rollout.driver.storeRestored(now);
+}
+
 void Rollouts::updateDivision(const ServiceId& id, ServiceRollout& rollout, TimePoint now)
 {
     auto division = rollout.driver.division(now);
--- a/libs/gateway/src/rollouts.h
+++ b/libs/gateway/src/rollouts.h
@@ -69,9 +69,11 @@
     void apply(const StoreItem& item, TimePoint now);
     /** Replaces everything that is known from the store. */
     void applyListing(RolloutListing listing, TimePoint now);
-    void apply(RolloutOrder change, TimePoint now);
+    void apply(const RolloutOrder& change, TimePoint now);
     void apply(RolloutStatus change, TimePoint now);
     void apply(RolloutStep change, TimePoint now);
+    /** The store was restored from a copy; a listing of it must follow. */
+    void storeRestored(TimePoint now);
     /** Updates the divisions, which change with time, and forgets services about which nothing is known. */
     void update(TimePoint now);
     std::unordered_map<ServiceId, ServiceRollout>& services() { return services_; }
--- a/libs/rollout/include/rollout/rollout_driver.h
+++ b/libs/rollout/include/rollout/rollout_driver.h
@@ -80,6 +80,12 @@
     void setOrder(std::optional<Order> order, TimePoint now);
     void setStatus(std::optional<Status> status, TimePoint now);
     void setStep(std::optional<Step> step, TimePoint now);
+    /**
+     * The store was restored from a copy: revisions were reissued, and the latest writes may be lost. What
+     * the store holds now must be set next. An order that is missing then stays in force for a grace period,
+     * and a final status that is missing is written again.
+     */
+    void storeRestored(TimePoint now);
     /** This VM is sure that the target version of the order is bad. */
     void setBad(std::string reason);
 
@@ -100,7 +106,7 @@
     /** True if the roll-out needs samples and steps. */
     bool isRunning() const;
     /** True if a value may have to be written now or later. */
-    bool isOpen() const { return isRunning() || (!order_ && status_ && status_->state == State::Running); }
+    bool isOpen() const;
     bool isWriting() const { return pending_.has_value(); }
     /** True if nothing is known about the service. */
     bool isEmpty() const { return !order_ && !status_ && !step_; }
@@ -109,7 +115,12 @@
     /** True if the status belongs to the current order and not to an earlier one. */
     bool isStatusCurrent() const;
     bool isStepCurrent() const;
-    bool isFinal() const;
+    /** Final state of the current order, also one that a restored store has lost. */
+    std::optional<State> finalState() const;
+    bool isFinal() const { return finalState().has_value(); }
+    bool isFinalStored() const { return isStatusCurrent() && status_->state != State::Running; }
+    /** Adopts an order after storeRestored(). @return false if it is a new one */
+    bool adoptRestored(const std::optional<Order>& order, TimePoint now);
     /** Versions that receive nothing besides the target. */
     std::vector<std::string> excludedVersions() const;
     Schedule schedule() const { return { order_->duration, limits_.propagation, limits_.maxExposure }; }
@@ -137,6 +148,11 @@
     std::optional<TimePoint> fullSince_;
     std::vector<std::string> excluded_;
     std::optional<Write> pending_;
+    /** The pending write was made to the store before its restoration. */
+    bool isPendingObsolete_ = false;
+    /** Time of the restoration, until the order is known again. */
+    std::optional<TimePoint> restoredAt_;
+    std::optional<State> finalBeforeRestore_;
     TimePoint nextWriteAt_ {};
     std::string reason_;
 };
--- a/libs/rollout/src/rollout_driver.cpp
+++ b/libs/rollout/src/rollout_driver.cpp
@@ -19,6 +19,8 @@
 constexpr Duration pulseGrace = std::chrono::seconds(1);
 /** After a conflict or a lost answer, time for the view of the store to become current. */
 constexpr Duration retryDelay = std::chrono::milliseconds(300);
+/** Time for which an order that a restored store lacks stays in force; the operator writes it again. */
+constexpr Duration restoreGrace = std::chrono::seconds(2);
 /** Versions of replaced orders that are remembered. */
 constexpr std::size_t maxExcluded = 8;
 /** Shares that differ by less count as the same step. */
@@ -33,8 +35,11 @@
 
 void RolloutDriver::setOrder(std::optional<Order> order, TimePoint now)
 {
+    if (adoptRestored(order, now))
+        return;
     if (order && order_ && order->revision == order_->revision)
         return;
+    finalBeforeRestore_.reset();
     if (order) {
         const auto exclude = [&](const std::string& version) {
             if (!version.empty() && version != order->target && excluded_.size() < maxExcluded
@@ -57,6 +62,40 @@
     updateFullSince(now);
 }
 
+void RolloutDriver::storeRestored(TimePoint now)
+{
+    if (order_) {
+        finalBeforeRestore_ = finalState();
+        orderSeenAt_ = now - elapsed(now);
+        restoredAt_ = now;
+    }
+    excluded_ = excludedVersions();
+    status_.reset();
+    step_.reset();
+    fullSince_.reset();
+    isPendingObsolete_ = pending_.has_value();
+    changeSeenAt_ = now;
+}
+
+bool RolloutDriver::adoptRestored(const std::optional<Order>& order, TimePoint now)
+{
+    if (!restoredAt_)
+        return false;
+    if (!order && now - *restoredAt_ < restoreGrace)
+        return true;
+    const bool isSame
+        = order && order_ && order->target == order_->target && order->duration == order_->duration;
+    restoredAt_.reset();
+    if (!isSame) {
+        // The revision may have been reissued.
+        order_->revision = 0;
+        return false;
+    }
+    order_ = order;
+    updateFullSince(now);
+    return true;
+}
+
 void RolloutDriver::updateFullSince(TimePoint now)
 {
     if (!isStepCurrent() || step_->phase != Phase::Full)
@@ -108,7 +147,17 @@
     return step_ && order_ && step_->orderRevision == order_->revision && step_->target == order_->target;
 }
 
-bool RolloutDriver::isFinal() const { return isStatusCurrent() && status_->state != State::Running; }
+std::optional<State> RolloutDriver::finalState() const
+{
+    return isFinalStored() ? std::optional(status_->state) : finalBeforeRestore_;
+}
+
+bool RolloutDriver::isOpen() const
+{
+    if (!order_)
+        return status_ && status_->state == State::Running;
+    return !isFinalStored();
+}
 
 bool RolloutDriver::isRunning() const { return order_ && !isFinal(); }
 
@@ -145,8 +194,8 @@
         return Division { status_->target, 0, excludedVersions(), true };
     }
     Division division { order_->target, 0, excludedVersions(), !reason_.empty() };
-    if (isFinal()) {
-        division.isRolledBack = status_->state == State::RolledBack;
+    if (const auto state = finalState()) {
+        division.isRolledBack = *state == State::RolledBack;
         division.share = division.isRolledBack ? 0 : 1;
     } else if (isStepCurrent() && reason_.empty()) {
         // A VM that does not learn of the end of a pulse ends it by itself.
@@ -178,7 +227,11 @@
 
 std::optional<Write> RolloutDriver::nextWrite(const DriverInputs& inputs, TimePoint now)
 {
-    if (pending_ || now < nextWriteAt_)
+    // The order did not come back after a restoration of the store.
+    if (restoredAt_ && now - *restoredAt_ >= restoreGrace)
+        setOrder(std::nullopt, now);
+    // Until then its revision is that of the earlier store.
+    if (pending_ || now < nextWriteAt_ || restoredAt_)
         return std::nullopt;
     pending_ = decide(inputs, now);
     return pending_;
@@ -192,8 +245,12 @@
             ? std::optional(writeStatus(State::RolledBack, status_->target, "order withdrawn"))
             : std::nullopt;
     }
-    if (isFinal())
+    if (isFinalStored())
         return std::nullopt;
+    if (finalBeforeRestore_)
+        return mayDrive(inputs, now)
+            ? std::optional(writeStatus(*finalBeforeRestore_, order_->target, reason_))
+            : std::nullopt;
     if (!reason_.empty())
         return writeStatus(State::RolledBack, order_->target, reason_);
     return mayDrive(inputs, now) ? decideRunning(inputs, now) : std::nullopt;
@@ -245,7 +302,7 @@
     if (!pending_)
         return;
     auto write = std::exchange(pending_, std::nullopt);
-    if (end != WriteEnd::Written) {
+    if (std::exchange(isPendingObsolete_, false) || end != WriteEnd::Written) {
         nextWriteAt_ = now + retryDelay;
         return;
     }
--- a/libs/rollout/tests/test_rollout.cpp
+++ b/libs/rollout/tests/test_rollout.cpp
@@ -34,7 +34,7 @@
     using Fault = std::function<void(ScriptedAnswer&, bool isTarget, const std::string& route,
         const std::string& zone, Duration elapsed, const ScriptedFleet&)>;
 
-    Run(double requestsPerSecond, Fault fault)
+    Run(double requestsPerSecond, const Fault& fault)
         : fleet(9, requestsPerSecond,
             [this, fault](
                 bool isTarget, const std::string& route, const std::string& zone, Duration elapsed) {
--- a/libs/rollout/tests/test_rollout_driver.cpp
+++ b/libs/rollout/tests/test_rollout_driver.cpp
@@ -185,6 +185,41 @@
     BOOST_CHECK(driver.nextWrite(inputs, start + duration * 2));
 }
 
+// Guards against a final status that a restored store has lost, and an order that starts anew or is taken as
+// withdrawn because of its revision.
+BOOST_AUTO_TEST_CASE(restoredStoreChangesNothing)
+{
+    const auto start = ScriptedFleet::at({});
+    const auto restored = start + seconds(30);
+    const DriverInputs inputs { 0U, true, 3, 3 };
+    const auto began = [&](State state) {
+        RolloutDriver driver { RolloutLimits {} };
+        driver.setOrder(Order { "v2", duration, 50 }, start);
+        driver.setStep(Step { 0.05, Phase::Canary, seconds(0), "v2", 50, {}, 51 }, start);
+        driver.setStatus(Status { state, "v2", 52 }, start + seconds(1));
+        driver.storeRestored(restored);
+        driver.setStatus(Status { State::Running, "v2", 45 }, restored);
+        return driver;
+    };
+    for (const auto state : { State::Completed, State::RolledBack }) {
+        auto driver = began(state);
+        driver.setOrder(Order { "v2", duration, 40 }, restored);
+        BOOST_CHECK_EQUAL(driver.division(restored)->share, state == State::Completed ? 1 : 0);
+        const auto write = driver.nextWrite(inputs, restored);
+        BOOST_CHECK(write && std::get<Status>(write->value).state == state && write->expectedRevision == 45);
+    }
+    auto running = began(State::Running);
+    running.setOrder(std::nullopt, restored);
+    BOOST_CHECK(running.order() && !running.nextWrite(inputs, restored + seconds(1)));
+    running.setOrder(Order { "v2", duration, 47 }, restored + seconds(1));
+    BOOST_CHECK(running.elapsed(restored + seconds(1)) == seconds(31));
+    BOOST_CHECK(running.nextWrite(inputs, restored + seconds(1)));
+    auto withdrawn = began(State::Running);
+    withdrawn.setOrder(std::nullopt, restored);
+    BOOST_CHECK(withdrawn.nextWrite(inputs, restored + seconds(3)));
+    BOOST_CHECK(!withdrawn.order());
+}
+
 // Guards against a pulse that goes on because the driver and the store are gone.
 BOOST_AUTO_TEST_CASE(pulseEndsWithoutAMessage)
 {
