Limit how fast samples of many VMs decide a roll-out

Change: the evidence of all VMs grows by a limited amount each half second; the driver collects twice a second; pulses last some 2 s, fewer of them.

--- a/libs/gateway/src/rollout_writer.cpp
+++ b/libs/gateway/src/rollout_writer.cpp
@@ -18,7 +18,7 @@
 using telemetry::LogLevel;
 
 /** Interval at which the driver collects the samples of the other VMs. */
-constexpr Duration collectionInterval = std::chrono::seconds(1);
+constexpr Duration collectionInterval = std::chrono::milliseconds(500);
 /** Peers answer from memory. */
 constexpr Duration peerTimeout = std::chrono::milliseconds(500);
 constexpr unsigned statusOk = 200;
--- a/libs/gateway/src/rollouts.cpp
+++ b/libs/gateway/src/rollouts.cpp
@@ -105,7 +105,9 @@
             { "duration_ms", std::to_string(toMillis((order ? order : before)->duration)) },
             { "revision", std::to_string((order ? order : before)->revision) } });
     rollout.own = order ? std::make_unique<rollout::VersionComparison>() : nullptr;
-    rollout.fleet = order ? std::make_unique<rollout::VersionComparison>() : nullptr;
+    rollout.fleet = order
+        ? std::make_unique<rollout::VersionComparison>(rollout::VersionComparison::Scope::AllVms)
+        : nullptr;
     rollout.merged.clear();
     updateDivision(change.service, rollout, now);
 }
--- a/libs/rollout/include/rollout/version_comparison.h
+++ b/libs/rollout/include/rollout/version_comparison.h
@@ -62,6 +62,18 @@
  */
 class VersionComparison {
 public:
+    enum class Scope {
+        OneVm,
+        /** Samples of several VMs. A replica that pauses gives each of them bad answers at the same time, so
+         * the evidence grows by a limited amount each half second. */
+        AllVms,
+    };
+
+    explicit VersionComparison(Scope scope = Scope::OneVm)
+        : scope_(scope)
+    {
+    }
+
     void record(const Sample& sample, TimePoint now);
     /** Adds samples of another VM. @param counts samples since the previous call for that VM and group */
     void merge(const SampleGroup& group, const SampleCounts& counts, TimePoint now);
@@ -88,6 +100,9 @@
     struct Evidence {
         /** Logarithm of the likelihood ratio for each assumed rate of bad answers. */
         std::array<double, 3> logRatios {};
+        /** The same at the start of the current half second. */
+        std::array<double, 3> earlierLogRatios {};
+        TimePoint periodStartedAt {};
         double strongest() const;
         Baseline baseline;
     };
@@ -106,6 +121,7 @@
     /** True if the replica has had a bad answer while this request was in progress. */
     bool isRepeated(const Sample& sample, Symptom symptom, bool bad, TimePoint now);
 
+    Scope scope_;
     std::map<SampleGroup, Evidence> evidence_;
     std::map<SampleGroup, SampleCounts> totals_;
     std::map<std::pair<std::string, std::string>, Latencies> latencies_;
--- a/libs/rollout/src/schedule.cpp
+++ b/libs/rollout/src/schedule.cpp
@@ -20,9 +20,11 @@
 constexpr Duration minRampTime = std::chrono::milliseconds(1500);
 constexpr Duration maxRampTime = std::chrono::seconds(20);
 constexpr std::array<double, 2> rampShares { 0.25, 0.6 };
-/** Other VMs learn of a step up to half a second apart, so shorter pulses would not overlap. */
-constexpr Duration minPulseLength = std::chrono::seconds(1);
-constexpr unsigned maxPulses = 4;
+/** Other VMs learn of a step up to half a second apart, so shorter pulses would hardly overlap. */
+constexpr Duration minPulseTime = std::chrono::seconds(1);
+/** A pulse should last longer than the pauses of single replicas and the collection of the samples. */
+constexpr Duration usualPulseLength = std::chrono::seconds(2);
+constexpr Duration::rep maxPulses = 4;
 
 } // namespace
 
@@ -47,8 +49,9 @@
 
 unsigned Schedule::pulseCount(double evenShare) const
 {
-    return static_cast<unsigned>(std::min<Duration::rep>(
-        pulseTime(evenShare) / minPulseLength, static_cast<Duration::rep>(maxPulses)));
+    const auto time = pulseTime(evenShare);
+    const auto count = std::min<Duration::rep>(time / usualPulseLength, maxPulses);
+    return time < minPulseTime ? 0 : std::max(static_cast<unsigned>(count), 1U);
 }
 
 Duration Schedule::pulseLength(double evenShare) const
--- a/libs/rollout/src/version_comparison.cpp
+++ b/libs/rollout/src/version_comparison.cpp
@@ -13,6 +13,11 @@
 constexpr double decisiveLogRatio = 14;
 /** The same while there are no current samples of the other versions to compare with. */
 constexpr double decisiveLogRatioUnpaired = 28;
+/** Growth of the evidence of several VMs in half a second, with and without current samples of the other
+ * versions: a pause of one replica, which lasts some 300 ms, must not decide. */
+constexpr double maxGrowth = 5;
+constexpr double maxGrowthUnpaired = 14;
+constexpr Duration growthPeriod = std::chrono::milliseconds(450);
 /** Bad answers of a faulty version that are tested for, as fractions. */
 constexpr std::array<double, 3> faultyRates { 0.1, 0.3, 0.7 };
 /** The assumed rate exceeds that of the other versions by this factor at least. */
@@ -135,11 +140,18 @@
         badRate(baseline.bad, baseline.samples, group.symptom), std::min(baseline.latestRate, maxFaultyRate));
     const auto bad = static_cast<double>(std::min(counts.targetBad, counts.target));
     const auto good = static_cast<double>(counts.target) - bad;
+    const auto growth = now - baseline.observedAt < baselineCurrent ? maxGrowth : maxGrowthUnpaired;
+    if (now - evidence.periodStartedAt >= growthPeriod) {
+        evidence.periodStartedAt = now;
+        evidence.earlierLogRatios = evidence.logRatios;
+    }
     for (std::size_t i = 0; i < faultyRates.size(); ++i) {
         const auto faulty = std::min(std::max(faultyRates[i], minRateFactor * usual), maxFaultyRate);
         auto& logRatio = evidence.logRatios[i];
         logRatio += bad * std::log(faulty / usual) + good * std::log((1 - faulty) / (1 - usual));
         logRatio = std::max(logRatio, 0.0);
+        if (scope_ == Scope::AllVms)
+            logRatio = std::min(logRatio, evidence.earlierLogRatios[i] + growth);
     }
     decide(group, now);
 }
