--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -8,6 +8,7 @@
 #include "planned_stop.h"
 #include "readiness.h"
 #include "request_runner.h"
+#include "rollout_writer.h"
 #include "run_after.h"
 #include "store_sync.h"
 #include "telemetry/log.h"
@@ -76,6 +77,7 @@
               layout_.encodeMember(
                   { settings_.zone, settings_.relay, settings_.handover, settings_.processors }),
               std::max<Duration>(settings_.minLeaseTtl, registrationLease))
+        , rolloutWriter_(ioContext, traffic_, members_, store, layout_, metrics_)
         , callerListener_(ioContext, settings_.maxSockets / callerSocketDivisor,
               [this](const CallerRequest& request) { serveCaller(request); })
         , readinessListener_(ioContext, maxProbeConnections,
@@ -209,6 +211,11 @@
     void serveRelay(const CallerRequest& request)
     {
         http::Response response;
+        if (request.head.target == rolloutSamplesPath) {
+            response.fields.emplace_back("Content-Type", "application/msgpack");
+            response.body = rolloutWriter_.encodeSamples();
+            return request.connection->respond(response, false);
+        }
         const auto question = decodeQuestion(request.head.target);
         if (!question) {
             response.status = statusNotFound;
@@ -248,6 +255,7 @@
         members_.storeRestored(graceEnd);
         evacuations_.storeRestored(graceEnd);
         registration_.storeRestored();
+        traffic_.rollouts().storeRestored(now);
     }
 
     void applyListing(std::span<const store::KeyValue> entries)
@@ -256,6 +264,7 @@
         std::vector<upstreams::UpstreamRecord> records;
         std::set<AvailabilityZone> evacuatedZones;
         std::map<VmId, MemberRecord> vms;
+        RolloutListing rollouts;
         for (const auto& entry : entries) {
             auto item = decode(entry);
             if (auto* configuration = std::get_if<routing::Configuration>(&item))
@@ -266,7 +275,9 @@
                 evacuatedZones.insert(zone->zone);
             if (auto* member = std::get_if<MemberChange>(&item); member && member->record)
                 vms[member->vm] = std::move(*member->record);
+            rollouts.add(item);
         }
+        traffic_.rollouts().applyListing(std::move(rollouts), now);
         traffic_.registry().applyListing(records, now);
         evacuations_.replaceAll(std::move(evacuatedZones));
         applyEvacuations(now);
@@ -295,6 +306,7 @@
                 members_.remove(member->vm, now);
             }
         }
+        traffic_.rollouts().apply(item, now);
     }
 
     void applyEvacuations(TimePoint now)
@@ -428,6 +440,7 @@
         members_.applyDeferredRemovals(now);
         applyEvacuations(now);
         traffic_.tick(now);
+        rolloutWriter_.tick(sync_.age(now), now);
         // Without a first listing, requests are refused from here on instead of being kept waiting.
         if (!hasListing_ && now - startedAt_ > maxInitialListingWait)
             callerListener_.startAccepting();
@@ -453,6 +466,7 @@
     Evacuations evacuations_;
     StoreSync sync_;
     Registration registration_;
+    RolloutWriter rolloutWriter_;
     HttpListener callerListener_;
     HttpListener readinessListener_;
     HttpListener metricsListener_;
--- a/libs/gateway/src/membership.h
+++ b/libs/gateway/src/membership.h
@@ -54,6 +54,9 @@
     /** All registered VMs that can be asked by others, this one included. */
     std::set<VmId> registeredDispatchers() const;
     bool isRegistered(const VmId& vm) const;
+    /** Position of this VM among the registered dispatchers for a name, by rendezvous hashing; 0 is the
+     * first, empty if this VM does not dispatch. */
+    std::optional<unsigned> rankFor(std::string_view name) const;
     /** Number of the other dispatchers of the zone that stay before this VM does when the tier shrinks.
      * @param processors cores of this VM */
     std::size_t dispatchersAhead(const AvailabilityZone& zone, double processors) const;
