Sharpen tests of a dead driver and of a rolled-back version

Change: a dead VM keeps its rank for the time of its lease; the old replica refuses after the roll-back, so that a retry would show at the new one.

--- a/libs/gateway/tests/test_rollouts.cpp
+++ b/libs/gateway/tests/test_rollouts.cpp
@@ -162,7 +162,10 @@
 {
     Fixture fixture;
     fixture.configure(configurationOf({ singleRoute(true) }));
-    auto& old = fixture.versioned("old", "v1", serves("data"));
+    bool isFull = false;
+    auto& old = fixture.versioned("old", "v1", [&isFull](const http::RequestHead& head, const std::string&) {
+        return FakeResponse { isFull ? notRunResponse : GatewayFixture::signedResponse(head, "s", "data") };
+    });
     auto& target = fixture.versioned("new", "v2", respondsWith(failure));
     fixture.store.set("order/ledger", "v2 30000");
     BOOST_TEST(callUntil(fixture, "2 ") == 0);
@@ -171,6 +174,9 @@
     BOOST_TEST(target.receivedRequests() <= 50 + old.receivedRequests() / 10);
     const auto before = target.receivedRequests();
     BOOST_TEST(sendMany(fixture, 50) == 0);
+    // Without a roll-back these would be retried at the other replica.
+    isFull = true;
+    BOOST_TEST(sendMany(fixture, 3) == 3);
     BOOST_TEST(target.receivedRequests() == before);
 }
 
--- a/libs/rollout/tests/scripted_fleet.h
+++ b/libs/rollout/tests/scripted_fleet.h
@@ -43,6 +43,7 @@
         VersionComparison comparison;
         std::map<SampleGroup, SampleCounts> reported;
         bool isAlive = true;
+        std::optional<Duration> diedAt;
         /** Fate of this VM's next write. */
         bool loseNextAnswer = false;
         std::optional<Duration> answerAt;
@@ -111,8 +112,14 @@
         load(now);
         unsigned rank = 0;
         for (auto& vm : vms) {
+            // A dead VM stays registered for the time of its lease.
+            if (!vm->isAlive && !vm->diedAt)
+                vm->diedAt = elapsed;
+            if (vm->diedAt && elapsed - *vm->diedAt > std::chrono::seconds(5))
+                continue;
             if (vm->isAlive)
-                drive(*vm, rank++, now);
+                drive(*vm, rank, now);
+            ++rank;
         }
     }
 
