Name both parts of a view's position in the tests of views

A position has an era beside the revision, so clang-tidy asked for inner braces; the values and checks are the same.

--- a/libs/gateway/tests/test_store_sync.cpp
+++ b/libs/gateway/tests/test_store_sync.cpp
@@ -70,12 +70,12 @@
 {
     StoreView view;
     BOOST_TEST(view.isEmpty());
-    BOOST_TEST(!view.apply(changes({ item("a", "1", 5) }, 5), { 4 }));
+    BOOST_TEST(!view.apply(changes({ item("a", "1", 5) }, 5), { { 4 }, {} }));
     BOOST_TEST(view.apply(full({ item("a", "1", 3), item("b", "1", 4) }, 5), {}));
-    BOOST_TEST(view.apply(changes({ item("a", "2", 7) }, 7, start + 1s), { 5 }));
+    BOOST_TEST(view.apply(changes({ item("a", "2", 7) }, 7, start + 1s), { { 5 }, {} }));
     BOOST_TEST((view.currentAt() == start + 1s));
     // A response to a request sent before the last update, and a listing that is older than the view.
-    BOOST_TEST(!view.apply(changes({ item("b", "2", 6) }, 9), { 5 }));
+    BOOST_TEST(!view.apply(changes({ item("b", "2", 6) }, 9), { { 5 }, {} }));
     BOOST_TEST(!view.apply(full({ item("a", "1", 3) }, 6), {}));
     BOOST_TEST(view.revision().value == 7U);
 }
@@ -85,23 +85,23 @@
 {
     StoreView view;
     view.apply(full({ item("a", "1", 3), item("b", "1", 4), item("c", "1", 5) }, 5), {});
-    view.apply(changes({ item("a", "2", 7), item("b", "", 0) }, 7), { 5 });
-    view.apply(changes({ item("d", "1", 8) }, 8), { 7 });
-    const auto since5 = view.since({ 5 });
+    view.apply(changes({ item("a", "2", 7), item("b", "", 0) }, 7), { { 5 }, {} });
+    view.apply(changes({ item("d", "1", 8) }, 8), { { 7 }, {} });
+    const auto since5 = view.since({ { 5 }, {} });
     BOOST_TEST(!since5.isFull);
     BOOST_TEST(since5.content.entries.size() == 3U);
-    BOOST_TEST(view.since({ 7 }).content.entries.size() == 1U);
-    BOOST_TEST(view.since({ 8 }).content.entries.empty());
+    BOOST_TEST(view.since({ { 7 }, {} }).content.entries.size() == 1U);
+    BOOST_TEST(view.since({ { 8 }, {} }).content.entries.empty());
     BOOST_TEST(view.since({}).isFull);
     BOOST_TEST(view.since({}).content.entries.size() == 3U);
 
     StoreView other;
     BOOST_TEST(other.apply(full({ item("a", "1", 3), item("b", "1", 4), item("c", "1", 5) }, 5), {}));
-    BOOST_TEST(other.apply(since5, { 5 }));
+    BOOST_TEST(other.apply(since5, { { 5 }, {} }));
     BOOST_TEST(other.since({}).content.entries.size() == 3U);
     // A key that was removed and written again is not reported as removed.
-    view.apply(changes({ item("b", "3", 9) }, 9), { 8 });
-    for (const auto& entry : view.since({ 5 }).content.entries)
+    view.apply(changes({ item("b", "3", 9) }, 9), { { 8 }, {} });
+    for (const auto& entry : view.since({ { 5 }, {} }).content.entries)
         BOOST_TEST(entry.modified.value != 0U);
 }
 
@@ -119,9 +119,9 @@
         const ViewPosition base { { revision }, {} };
         view.apply(changes({ item(entry.key, "", 0) }, ++revision), base);
     }
-    BOOST_TEST(view.since({ 6 }).isFull);
-    BOOST_TEST(!view.since({ 1400 }).isFull);
-    BOOST_TEST(view.since({ 1400 }).content.entries.size() == 105U);
+    BOOST_TEST(view.since({ { 6 }, {} }).isFull);
+    BOOST_TEST(!view.since({ { 1400 }, {} }).isFull);
+    BOOST_TEST(view.since({ { 1400 }, {} }).content.entries.size() == 105U);
 }
 
 BOOST_AUTO_TEST_CASE(updatesAreEncodedWithTheirAge)
