Treat invalid status lines of replicas as their failure

Cause: a status of 000 to 099 was skipped as an interim response or passed on, 101 was waited behind, 600 to 999 reached the caller, and such an answer with the not-executed field was believed. Change: MessageReader reports a response with a status outside of 100 to 599, or 101, as malformed; classifyResponse() and forwardedResponse() treat any status that is not final as a failure of the replica.

--- a/libs/gateway/src/upstream_connection.cpp
+++ b/libs/gateway/src/upstream_connection.cpp
@@ -110,8 +110,7 @@
 
 UpstreamConnection::ResponseMatch UpstreamConnection::matchResponse() const
 {
-    constexpr unsigned firstFinalStatus = 200;
-    if (reader_.response().status < firstFinalStatus)
+    if (http::isInterimStatus(reader_.response().status))
         return ResponseMatch::Interim;
     const auto responseId = reader_.response().fields.find(requestIdField_);
     if (!responseId)
--- a/libs/gateway/src/upstream_response.cpp
+++ b/libs/gateway/src/upstream_response.cpp
@@ -19,6 +19,9 @@
 
 ResponseKind classifyResponse(const http::ResponseHead& head, const Dialect& dialect)
 {
+    // A response that is no valid HTTP proves nothing, also not that the request has not run.
+    if (!http::isFinalStatus(head.status))
+        return ResponseKind::Failure;
     if (head.status == statusMisdirected)
         return ResponseKind::Misdirected;
     if (!isSuccess(head.status) && head.fields.find(dialect.headers.notExecuted))
@@ -65,7 +68,7 @@
         != notExecutedStatuses.end();
     const bool encoded = head.fields.find("content-encoding").has_value();
     const bool unsignedResult = isSuccess(head.status) && !head.fields.find(dialect.headers.signature);
-    if (impliesNotExecuted || encoded || unsignedResult) {
+    if (!http::isFinalStatus(head.status) || impliesNotExecuted || encoded || unsignedResult) {
         response.status = statusBadGateway;
         return response;
     }
--- a/libs/gateway/src/upstream_response.h
+++ b/libs/gateway/src/upstream_response.h
@@ -40,8 +40,8 @@
 /**
  * Converts a replica's response to the response for the caller. Status, body and end-to-end header fields
  * are kept; header fields that are meant for the gateway are removed. Returns 502 instead if the status
- * would tell the caller that the request was not executed, which the replica has not confirmed, or if the
- * response has a content encoding or is an unsigned success.
+ * is not a final one (200 to 599) or would tell the caller that the request was not executed, which the
+ * replica has not confirmed, or if the response has a content encoding or is an unsigned success.
  */
 http::Response forwardedResponse(const http::ResponseHead& head, std::string body, const Dialect& dialect);
 
--- a/libs/http/include/http/message_reader.h
+++ b/libs/http/include/http/message_reader.h
@@ -21,7 +21,7 @@
     /** More bytes are needed. */
     Incomplete,
     Complete,
-    /** The bytes are not a valid HTTP message. */
+    /** The bytes are not a valid HTTP message, or a response has an invalid status. */
     Malformed,
     HeaderTooLong,
     BodyTooLong,
@@ -34,6 +34,12 @@
     FieldList fields;
 };
 
+/** True for an interim status that another response follows; false for 101, which no request here asks for.
+ */
+constexpr bool isInterimStatus(unsigned status) { return status >= 100 && status < 200 && status != 101; }
+/** True for the statuses of a final response, 200 to 599. */
+constexpr bool isFinalStatus(unsigned status) { return status >= 200 && status < 600; }
+
 /** Status and header fields of a response. */
 struct ResponseHead {
     unsigned status = 0;
--- a/libs/http/src/message_reader.cpp
+++ b/libs/http/src/message_reader.cpp
@@ -52,9 +52,12 @@
         message_.request.target = view(target);
     }
 
-    void on_response_impl(int status, Text, int, error_code&) override
+    void on_response_impl(int status, Text, int, error_code& failure) override
     {
         message_.response.status = static_cast<unsigned>(status);
+        // Without an Upgrade field in the request, 101 is as invalid as a status outside of the five classes.
+        if (!isInterimStatus(message_.response.status) && !isFinalStatus(message_.response.status))
+            failure = beast::http::error::bad_status;
     }
 
     void on_field_impl(beast::http::field, Text name, Text value, error_code&) override
