Limit the memory and the sockets that hostile callers can hold

Cause: responses of callers that read slowly and bodies that do not end were kept without a limit; idle connections kept the buffers of their largest message; a burst of refusals made a VM without replicas in other zones unready for good. Change: MemoryAccount counts bodies, responses being received and written, parts and frames (three eighths of the VM's memory, and an eighth for small holders). When it is full, the peer with the least progress is closed or refused with 408, and further bodies and responses are not read. A caller has to take 40 KiB of its response in 10 s. Connections to replicas leave a reserve of sockets. Responses that this VM could not read for lack of memory count neither against the replica nor as unreachable zones. The case on the sum of responses in gateway_test_hostile_peers uses MemoryAccount in place of the removed ResponseMemory, with the same checks.

--- a/libs/gateway/src/caller_connection.h
+++ b/libs/gateway/src/caller_connection.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "http/message_reader.h"
 #include "http/message_writer.h"
+#include "memory_account.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -33,6 +34,10 @@
     Duration header = std::chrono::seconds(3);
     /** Time without the start of a request. */
     Duration idle = std::chrono::seconds(15);
+    /** Time in which a caller must take `minResponseBytes` of its response. */
+    Duration responseProgress = std::chrono::seconds(10);
+    /** 4 KiB/s over the default time; a caller within the limits is faster by orders of magnitude. */
+    std::size_t minResponseBytes = 40 * 1024;
 };
 
 /**
@@ -48,6 +53,10 @@
         std::function<void(CallerConnection&)> closed;
         /** Returns true if the connection must close after the current response. */
         std::function<bool()> isStopping;
+        /** Memory of all connections; nullptr: not limited. Outlives the connection. */
+        MemoryAccount* memory = nullptr;
+        /** Called when a body has to wait for memory. */
+        std::function<void()> waiting;
     };
 
     CallerConnection(boost::asio::ip::tcp::socket socket, http::ReadLimits limits, Hooks hooks);
@@ -57,11 +66,21 @@
     void respond(const http::Response& response, bool close);
     /** Sets a handler for a disconnect of the caller before the response; respond() clears it. */
     void onDisconnect(std::function<void()> handler) { disconnectHandler_ = std::move(handler); }
-    /** Returns true if the request in progress or the idle connection has exceeded its timeout. */
-    bool isOverdue(const CallerTimeouts& timeouts, TimePoint now) const;
-    /** Closes an idle connection; responds with 408 to a request that was not received in time. */
+    /**
+     * Returns true if the request in progress or the idle connection has exceeded its timeout, or the caller
+     * takes its response too slowly. Call regularly, since each period of progress ends in this call.
+     */
+    bool isOverdue(const CallerTimeouts& timeouts, TimePoint now);
+    /**
+     * Closes an idle connection and one whose caller does not take its response; responds with 408 to a
+     * request that was not received in time.
+     */
     void expire();
     void close();
+    /** Reads on if there is memory for the body that had to wait. */
+    void resume(TimePoint now);
+    /** Starts the measurement of the caller's progress anew after a stall of the process. */
+    void restartProgress(TimePoint now);
 
     /** True if no part of a request has been read and no response is being written. */
     bool isIdle() const { return !isBusy() && !reader_.hasStarted() && readBuffer_.empty(); }
@@ -75,8 +94,18 @@
     bool isBusy() const { return awaitingResponse_ || !writeBuffer_.empty(); }
     /** True while a request has been received only in part. */
     bool isReceivingRequest() const { return !awaitingResponse_ && reader_.hasStarted(); }
+    /** True while a body waits for memory. */
+    bool isWaitingForMemory() const { return waitingForMemory_; }
+    /** Start of the current request, or of the idle period before it. */
+    TimePoint phaseStartedAt() const { return phaseStartedAt_; }
 
 private:
+    /** Reserves memory for the request that is being received; false if it has to wait. */
+    bool reserveMemory(TimePoint now);
+    /** Counts what is buffered while no body is being received. */
+    void updateMemory();
+    /** Ends the connection to make room for others. */
+    void endForMemory();
     void read();
     void handleBytes(std::size_t count);
     void parse();
@@ -87,6 +116,7 @@
     boost::asio::ip::tcp::socket socket_;
     Hooks hooks_;
     http::MessageReader reader_;
+    const std::size_t maxBodyBytes_;
     std::array<char, 4096> chunk_ {};
     std::string readBuffer_;
     std::string writeBuffer_;
@@ -99,6 +129,11 @@
     bool reading_ = false;
     bool closeAfterWrite_ = false;
     bool closed_ = false;
+    bool waitingForMemory_ = false;
+    /** Start of the period in which the caller must take bytes of its response, and how many it took. */
+    TimePoint progressSince_ {};
+    std::size_t bytesTaken_ = 0;
+    MemoryHolder memory_;
 };
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/dispatch_tier.cpp
+++ b/libs/gateway/src/dispatch_tier.cpp
@@ -27,7 +27,7 @@
     , role_({ traffic.settings().minDispatchersPerZone,
                 scaled(traffic.settings().maxPropagationDelay, visibilityFraction) },
           traffic.uniformRandom())
-    , dispatchers_(traffic.ioContext(),
+    , dispatchers_(traffic.ioContext(), traffic.memory(),
           [&traffic](const handover::UpstreamLeaving& leaving) {
               traffic.registry().applyLeaving(
                   leaving.upstream, leaving.startedAtUnixMillis, BootClock::now());
--- a/libs/gateway/src/dispatcher_link.cpp
+++ b/libs/gateway/src/dispatcher_link.cpp
@@ -24,9 +24,10 @@
 
 } // namespace
 
-DispatcherLink::DispatcherLink(
-    boost::asio::io_context& ioContext, Dispatcher dispatcher, LeavingHandler upstreamLeaving)
+DispatcherLink::DispatcherLink(boost::asio::io_context& ioContext, MemoryAccount& memory,
+    Dispatcher dispatcher, LeavingHandler upstreamLeaving)
     : ioContext_(ioContext)
+    , memory_(memory)
     , dispatcher_(std::move(dispatcher))
     , upstreamLeaving_(std::move(upstreamLeaving))
     , roundTrip_(initialRoundTrip)
@@ -98,6 +99,7 @@
                 if (const auto link = weak.lock())
                     link->handleClosed();
             };
+            hooks.memory = &self->memory_;
             self->connection_ = std::make_shared<FrameConnection>(
                 std::move(*socket), maxAnswerFrameBytes, std::move(hooks));
             self->connection_->start(at);
--- a/libs/gateway/src/dispatcher_link.h
+++ b/libs/gateway/src/dispatcher_link.h
@@ -46,8 +46,12 @@
 public:
     using LeavingHandler = std::function<void(const handover::UpstreamLeaving&)>;
 
-    /** @param upstreamLeaving called when the dispatcher tells that a replica is leaving */
-    DispatcherLink(boost::asio::io_context& ioContext, Dispatcher dispatcher, LeavingHandler upstreamLeaving);
+    /**
+     * @param memory limits the frames; outlives the link
+     * @param upstreamLeaving called when the dispatcher tells that a replica is leaving
+     */
+    DispatcherLink(boost::asio::io_context& ioContext, MemoryAccount& memory, Dispatcher dispatcher,
+        LeavingHandler upstreamLeaving);
 
     /** Connects or reconnects, queries an unresponsive dispatcher and closes a silent connection; call about
      * every 100 ms. */
@@ -93,6 +97,7 @@
     void closeConnection();
 
     boost::asio::io_context& ioContext_;
+    MemoryAccount& memory_;
     const Dispatcher dispatcher_;
     const LeavingHandler upstreamLeaving_;
     std::shared_ptr<FrameConnection> connection_;
--- a/libs/gateway/src/dispatcher_pool.cpp
+++ b/libs/gateway/src/dispatcher_pool.cpp
@@ -24,7 +24,7 @@
             links_.begin(), links_.end(), [&](const auto& link) { return link->dispatcher() == dispatcher; });
         links.push_back(known != links_.end()
                 ? *known
-                : std::make_shared<DispatcherLink>(ioContext_, dispatcher, upstreamLeaving_));
+                : std::make_shared<DispatcherLink>(ioContext_, memory_, dispatcher, upstreamLeaving_));
     }
     std::copy_if(links_.begin(), links_.end(), std::back_inserter(retired_),
         [&](const auto& link) { return std::find(links.begin(), links.end(), link) == links.end(); });
--- a/libs/gateway/src/dispatcher_pool.h
+++ b/libs/gateway/src/dispatcher_pool.h
@@ -14,9 +14,14 @@
 /** An ingress VM's links to the dispatchers of its availability zone. Not thread-safe. */
 class DispatcherPool {
 public:
-    /** @param upstreamLeaving called when a dispatcher tells that a replica is leaving */
-    DispatcherPool(boost::asio::io_context& ioContext, DispatcherLink::LeavingHandler upstreamLeaving)
+    /**
+     * @param memory limits the frames; outlives the pool
+     * @param upstreamLeaving called when a dispatcher tells that a replica is leaving
+     */
+    DispatcherPool(boost::asio::io_context& ioContext, MemoryAccount& memory,
+        DispatcherLink::LeavingHandler upstreamLeaving)
         : ioContext_(ioContext)
+        , memory_(memory)
         , upstreamLeaving_(std::move(upstreamLeaving))
     {
     }
@@ -45,6 +50,7 @@
 
 private:
     boost::asio::io_context& ioContext_;
+    MemoryAccount& memory_;
     const DispatcherLink::LeavingHandler upstreamLeaving_;
     std::vector<Dispatcher> dispatchers_;
     std::vector<std::shared_ptr<DispatcherLink>> links_;
--- a/libs/gateway/src/frame_connection.cpp
+++ b/libs/gateway/src/frame_connection.cpp
@@ -12,6 +12,13 @@
 
 /** Unsent bytes after which the peer is considered stuck. Above the largest answer of a replica. */
 constexpr std::size_t maxUnsentBytes = 16 * 1024 * 1024;
+/**
+ * With fewer unsent bytes, a slow peer is not ended when memory is short: the loss of the connection ends all
+ * requests on it, and would free little.
+ */
+constexpr std::size_t minEndedBytes = 1024 * 1024;
+/** Sent bytes at the start of the buffer that are kept rather than moving the others. */
+constexpr std::size_t maxSentBytesKept = 64 * 1024;
 
 } // namespace
 
@@ -19,9 +26,24 @@
     : socket_(std::move(socket))
     , hooks_(std::move(hooks))
     , reader_(maxFrameBytes)
+    , memory_(hooks_.memory, MemoryUse::Frames, [this] { close(); })
 {
 }
 
+void FrameConnection::updateMemory()
+{
+    memory_.hold(reader_.bufferedBytes() + writeBuffer_.size());
+    const bool waits = writeBuffer_.size() - bytesWritten_ >= minEndedBytes;
+    if (waits == waitsForPeer_)
+        return;
+    waitsForPeer_ = waits;
+    if (waits) {
+        memory_.waitForPeer(BootClock::now());
+    } else {
+        memory_.stopWaitingForPeer();
+    }
+}
+
 void FrameConnection::start(TimePoint now)
 {
     lastReceivedAt_ = now;
@@ -60,8 +82,10 @@
             "closing connection that carries malformed frames", { { "reason", toString(reason) } });
         close();
     }
-    if (!closed_)
-        read();
+    if (closed_)
+        return;
+    updateMemory();
+    read();
 }
 
 void FrameConnection::send(const handover::Frame& frame)
@@ -76,27 +100,41 @@
     }
     if (!writing_)
         write();
+    updateMemory();
 }
 
 void FrameConnection::write()
 {
     error_code failure;
-    bytesWritten_ += socket_.write_some(
+    const auto count = socket_.write_some(
         boost::asio::buffer(writeBuffer_.data() + bytesWritten_, writeBuffer_.size() - bytesWritten_),
         failure);
+    bytesWritten_ += count;
+    memory_.progressed(count, BootClock::now());
     if (bytesWritten_ == writeBuffer_.size()) {
-        writeBuffer_.clear();
+        if (writeBuffer_.capacity() > maxSentBytesKept) {
+            writeBuffer_ = std::string();
+        } else {
+            writeBuffer_.clear();
+        }
         bytesWritten_ = 0;
         return;
     }
+    // Otherwise the sent bytes pile up while the peer is never quite caught up with.
+    if (bytesWritten_ > std::max(maxSentBytesKept, writeBuffer_.size() / 2)) {
+        writeBuffer_.erase(0, bytesWritten_);
+        bytesWritten_ = 0;
+    }
     // A broken connection is closed by the pending read, so that callers of send() are not re-entered.
     if (failure && failure != boost::asio::error::would_block)
         return;
     writing_ = true;
     socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const error_code& waitFailure) {
         self->writing_ = false;
-        if (!waitFailure && !self->closed_)
-            self->write();
+        if (waitFailure || self->closed_)
+            return;
+        self->write();
+        self->updateMemory();
     });
 }
 
@@ -106,6 +144,10 @@
         return;
     const auto self = shared_from_this();
     closed_ = true;
+    writeBuffer_ = std::string();
+    bytesWritten_ = 0;
+    memory_.stopWaitingForPeer();
+    memory_.hold(0);
     error_code ignored;
     socket_.close(ignored);
     hooks_.closed();
--- a/libs/gateway/src/frame_connection.h
+++ b/libs/gateway/src/frame_connection.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "handover/frames.h"
+#include "memory_account.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -22,6 +23,8 @@
         std::function<void(handover::Frame)> frame;
         /** Called once, also after close(). */
         std::function<void()> closed;
+        /** Memory of all connections; nullptr: not limited. Outlives the connection. */
+        MemoryAccount* memory = nullptr;
     };
 
     /** @param maxFrameBytes limit on a frame of the peer */
@@ -37,6 +40,8 @@
     void read();
     void handleBytes(std::size_t count, TimePoint now);
     void write();
+    /** Counts the bytes of incomplete frames and those that the peer has not taken. */
+    void updateMemory();
 
     boost::asio::ip::tcp::socket socket_;
     Hooks hooks_;
@@ -47,6 +52,8 @@
     TimePoint lastReceivedAt_ {};
     bool writing_ = false;
     bool closed_ = false;
+    bool waitsForPeer_ = false;
+    MemoryHolder memory_;
 };
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -75,19 +75,20 @@
               layout_.encodeMember(
                   { settings_.zone, settings_.relay, settings_.handover, settings_.processors }),
               std::max<Duration>(settings_.minLeaseTtl, registrationLease))
-        , callerListener_(ioContext, settings_.maxSockets / callerSocketDivisor,
+        , callerListener_(ioContext, settings_.maxSockets / callerSocketDivisor, traffic_.memory(),
               [this](const CallerRequest& request) { serveCaller(request); })
-        , readinessListener_(ioContext, maxProbeConnections,
+        , readinessListener_(ioContext, maxProbeConnections, traffic_.memory(),
               [this](const CallerRequest& request) { serveReadiness(request); })
-        , metricsListener_(
-              ioContext, maxProbeConnections, [this](const CallerRequest& request) { serveMetrics(request); })
-        , relayListener_(
-              ioContext, maxRelayConnections, [this](const CallerRequest& request) { serveRelay(request); })
+        , metricsListener_(ioContext, maxProbeConnections, traffic_.memory(),
+              [this](const CallerRequest& request) { serveMetrics(request); })
+        , relayListener_(ioContext, maxRelayConnections, traffic_.memory(),
+              [this](const CallerRequest& request) { serveRelay(request); })
         , tier_(traffic_, members_, registration_, tierHooks())
         , stop_(ioContext, callerListener_, traffic_, stopHooks())
         , signals_(ioContext, SIGTERM, SIGINT, SIGHUP)
         , tickTimer_(ioContext)
     {
+        callerListener_.onWaiting([this] { traffic_.recordMemoryWait("body of a request"); });
         metrics_.gauge("banyancroft_gateway_config_version", "Version of the configuration in force",
             [this] { return static_cast<double>(traffic_.configuration().version().value); });
         metrics_.gauge("banyancroft_gateway_upstreams", "Replicas that are registered",
--- a/libs/gateway/src/handover_runner.cpp
+++ b/libs/gateway/src/handover_runner.cpp
@@ -51,6 +51,7 @@
     , onDisconnect_(request.onDisconnect)
     , head_(request.head)
     , body_(request.body)
+    , memory_(&context.traffic.memory(), MemoryUse::Parts, [] {})
     , arrivedAt_(request.arrivedAt)
     , openedConnection_(request.openedConnection)
     , routed_(std::move(routed))
@@ -61,6 +62,7 @@
 
 void HandoverRunner::start(TimePoint now)
 {
+    memory_.hold(body_.size());
     onDisconnect_([weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->handleDisconnect(BootClock::now());
--- a/libs/gateway/src/handover_runner.h
+++ b/libs/gateway/src/handover_runner.h
@@ -52,6 +52,7 @@
     const std::function<void(std::function<void()>)> onDisconnect_;
     const http::RequestHead head_;
     const std::string body_;
+    MemoryHolder memory_;
     const TimePoint arrivedAt_;
     const bool openedConnection_;
     const RoutedRequest routed_;
--- a/libs/gateway/src/handover_server.cpp
+++ b/libs/gateway/src/handover_server.cpp
@@ -61,6 +61,7 @@
             if (const auto self = weak.lock())
                 self->handleClosed();
         };
+        hooks.memory = &server_.traffic_.memory();
         connection_
             = std::make_shared<FrameConnection>(std::move(socket_), maxRequestFrameBytes, std::move(hooks));
         connection_->start(now);
--- a/libs/gateway/src/http_listener.cpp
+++ b/libs/gateway/src/http_listener.cpp
@@ -11,6 +11,8 @@
 
 /** Size of the accept queue: all callers of a VM may reconnect at once after a restart. */
 constexpr int listenBacklog = 1024;
+/** A longer time between two calls of expire() shows that the process was stalled. */
+constexpr Duration maxExpiryInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -49,9 +51,11 @@
     return true;
 }
 
-HttpListener::HttpListener(boost::asio::io_context& ioContext, std::size_t maxConnections, Handler handler)
+HttpListener::HttpListener(
+    boost::asio::io_context& ioContext, std::size_t maxConnections, MemoryAccount& memory, Handler handler)
     : acceptor_(ioContext)
     , maxConnections_(maxConnections)
+    , memory_(memory)
     , handler_(std::move(handler))
 {
 }
@@ -101,6 +105,11 @@
         accept();
     };
     hooks.isStopping = [this] { return stopping_; };
+    hooks.memory = &memory_;
+    hooks.waiting = [this] {
+        if (waiting_)
+            waiting_();
+    };
     auto connection = std::make_shared<CallerConnection>(std::move(socket), limits_, std::move(hooks));
     connections_.insert(connection);
     connection->start(BootClock::now());
@@ -153,15 +162,30 @@
 {
     // Connections remove themselves from the set when they close, so the overdue ones are collected first.
     std::vector<std::shared_ptr<CallerConnection>> overdue;
+    const bool wasStalled = now - std::exchange(lastExpiryAt_, now) > maxExpiryInterval;
     for (const auto& connection : connections_) {
+        if (wasStalled)
+            connection->restartProgress(now);
         if (connection->isOverdue(timeouts_, now))
             overdue.push_back(connection);
     }
     for (const auto& connection : overdue)
         connection->expire();
+    resumeWaiting(now);
     accept();
 }
 
+void HttpListener::resumeWaiting(TimePoint now)
+{
+    std::vector<std::shared_ptr<CallerConnection>> waiting;
+    std::copy_if(connections_.begin(), connections_.end(), std::back_inserter(waiting),
+        [](const auto& connection) { return connection->isWaitingForMemory(); });
+    std::sort(waiting.begin(), waiting.end(),
+        [](const auto& left, const auto& right) { return left->phaseStartedAt() < right->phaseStartedAt(); });
+    for (const auto& connection : waiting)
+        connection->resume(now);
+}
+
 std::size_t HttpListener::busyConnectionCount() const
 {
     return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
--- a/libs/gateway/src/http_listener.h
+++ b/libs/gateway/src/http_listener.h
@@ -19,8 +19,12 @@
 public:
     using Handler = std::function<void(const CallerRequest&)>;
 
-    /** @param maxConnections limit on open connections; further ones wait in the kernel's accept queue */
-    HttpListener(boost::asio::io_context& ioContext, std::size_t maxConnections, Handler handler);
+    /**
+     * @param maxConnections limit on open connections; further ones wait in the kernel's accept queue
+     * @param memory limits requests and responses; outlives the listener
+     */
+    HttpListener(boost::asio::io_context& ioContext, std::size_t maxConnections, MemoryAccount& memory,
+        Handler handler);
     ~HttpListener();
     HttpListener(const HttpListener&) = delete;
     HttpListener& operator=(const HttpListener&) = delete;
@@ -47,6 +51,8 @@
     void expire(TimePoint now);
 
     std::size_t connectionCount() const { return connections_.size(); }
+    /** Called when the body of a request has to wait for memory. */
+    void onWaiting(std::function<void()> handler) { waiting_ = std::move(handler); }
     /** Number of connections with a request that is partly received or not yet answered. */
     std::size_t busyConnectionCount() const;
 
@@ -55,12 +61,17 @@
 private:
     void accept();
     void addConnection(boost::asio::ip::tcp::socket socket);
+    /** Lets connections read on that had to wait for memory, the longest waiting first. */
+    void resumeWaiting(TimePoint now);
 
     boost::asio::ip::tcp::acceptor acceptor_;
     const std::size_t maxConnections_;
+    MemoryAccount& memory_;
     Handler handler_;
     http::ReadLimits limits_;
     CallerTimeouts timeouts_;
+    TimePoint lastExpiryAt_ {};
+    std::function<void()> waiting_;
     bool stopping_ = false;
     bool acceptingEnabled_ = false;
     bool accepting_ = false;
--- a/libs/gateway/src/reach_tracker.cpp
+++ b/libs/gateway/src/reach_tracker.cpp
@@ -21,6 +21,7 @@
 
 void ReachTracker::recordOtherZoneContact(TimePoint now)
 {
+    usesOtherZones_ = true;
     lastOtherZoneContact_ = now;
     silentSends_ = 0;
     cutOff_ = false;
@@ -28,6 +29,7 @@
 
 void ReachTracker::recordOtherZoneSend(TimePoint now)
 {
+    usesOtherZones_ = true;
     if (silentSends_++ == 0)
         firstSilentSend_ = now;
 }
@@ -68,7 +70,8 @@
     const auto failures = static_cast<std::size_t>(std::count_if(
         outcomes_.begin(), outcomes_.end(), [](const Outcome& outcome) { return !outcome.served; }));
     const bool mostFail = outcomes_.size() >= minOutcomes && 2 * failures > outcomes_.size();
-    if (!mostFail || now - lastOtherZoneContact_ < maxOtherZoneSilence)
+    // Without replicas in other zones, no contact could ever end the state.
+    if (!mostFail || !usesOtherZones_ || now - lastOtherZoneContact_ < maxOtherZoneSilence)
         return false;
     setCutOff(now);
     return true;
--- a/libs/gateway/src/reach_tracker.h
+++ b/libs/gateway/src/reach_tracker.h
@@ -53,6 +53,8 @@
     TimePoint firstSilentSend_ {};
     TimePoint cutOffSince_ {};
     bool cutOff_ = false;
+    /** A request was sent to another zone, or a replica there has responded, since the start. */
+    bool usesOtherZones_ = false;
 };
 
 /**
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -50,6 +50,7 @@
     , onDisconnect_(request.onDisconnect)
     , head_(request.head)
     , body_(request.body)
+    , memory_(&traffic.memory(), MemoryUse::Parts, [] {})
     , requestId_(std::move(routed.requestId))
     , arrivedAt_(request.arrivedAt)
     , openedConnection_(request.openedConnection)
@@ -98,6 +99,7 @@
 
 void RequestRunner::start(TimePoint now)
 {
+    memory_.hold(body_.size());
     history_.longestDeadline = std::max(history_.longestDeadline, deadline_);
     if (traffic_.isConfigurationOutdated())
         return finish(unavailableResponse(traffic_.dialect().headers, configurationRetryAfter),
@@ -360,12 +362,14 @@
         handleResponse(attempt, *response, now);
     } else {
         plan_->failed(attempt->shard);
+        lackedMemory_ = lackedMemory_ || outcome == ExchangeOutcome::NoMemory;
         traffic_.requestLog().logStep(now, "no valid response from replica",
             { { "id", requestId_ }, { "upstream", attempt->upstream->record.id.str() },
                 { "end",
                     outcome == ExchangeOutcome::Malformed      ? "malformed"
                         : outcome == ExchangeOutcome::TooLong  ? "too long"
                         : outcome == ExchangeOutcome::TimedOut ? "timeout"
+                        : outcome == ExchangeOutcome::NoMemory ? "no memory"
                                                                : "broken" },
                 { "after_ms", formatMillis(now - attempt->sentAt) } });
     }
@@ -375,6 +379,7 @@
 void RequestRunner::handleResponse(
     const AttemptPointer& attempt, const ExchangeResponse& response, TimePoint now)
 {
+    memory_.hold(memory_.held() + response.body.size());
     const auto kind = classifyResponse(response.head, traffic_.dialect());
     if (kind == ResponseKind::Result) {
         const auto signature = response.head.fields.find(traffic_.dialect().headers.signature);
@@ -444,7 +449,9 @@
 void RequestRunner::respondWithFailure(TimePoint now)
 {
     traffic_.metrics().failed.add();
-    traffic_.reach().recordFailure(now);
+    // A replica whose answer this VM could not take in was reached.
+    if (!lackedMemory_)
+        traffic_.reach().recordFailure(now);
     if (failureResponse_)
         return finish(*failureResponse_, "failure of the replica", now);
     const bool late = now >= plan_->rules().deadline;
--- a/libs/gateway/src/request_runner.h
+++ b/libs/gateway/src/request_runner.h
@@ -64,6 +64,8 @@
     const std::function<void(std::function<void()>)> onDisconnect_;
     http::RequestHead head_;
     std::string body_;
+    /** The body and the parts received so far. */
+    MemoryHolder memory_;
     std::string requestId_;
     const TimePoint arrivedAt_;
     const bool openedConnection_;
@@ -83,6 +85,8 @@
     std::optional<http::Response> failureResponse_;
     boost::asio::steady_timer timer_;
     unsigned repeats_ = 0;
+    /** An attempt failed because this VM lacked memory for the response. */
+    bool lackedMemory_ = false;
     bool finished_ = false;
     bool runningPlan_ = false;
 };
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -19,8 +19,22 @@
 constexpr Duration startupCautionPeriod = std::chrono::seconds(4);
 /** Fraction of a cold replica's request rate that all VMs together use. */
 constexpr double coldRateUtilization = 0.8;
-/** Responses that are being received may use 1 / responseMemoryDivisor of the memory. */
-constexpr std::size_t responseMemoryDivisor = 4;
+/**
+ * Shares of the VM's memory for requests, responses and frames: together a half, since a buffer is copied
+ * once while it moves from one connection to another, and the program and its tables need the rest.
+ */
+constexpr MemoryAccount::Limits memoryShares(std::size_t memoryBytes)
+{
+    return { memoryBytes / 8 * 3, memoryBytes / 8 };
+}
+/** Replicas may use half of the sockets, as callers may, but for a reserve for the hop, the store and probes.
+ */
+constexpr std::size_t maxUpstreamSockets(std::size_t maxSockets)
+{
+    constexpr std::size_t reserve = 64;
+    return maxSockets / 2 - std::min(reserve, maxSockets / 8);
+}
+
 /** A tick that is later than this shows that the process was stalled. */
 constexpr Duration maxTickDelay = std::chrono::milliseconds(350);
 /** After a stall, other VMs may have taken over this VM's share of the cold rates: time to learn of it. */
@@ -85,6 +99,10 @@
           metrics.counter("banyancroft_handover_accepted_total", "Requests that a dispatcher took over"))
     , sentDirectly(metrics.counter("banyancroft_handover_sent_directly_total",
           "Requests that no dispatcher took over, sent from this VM"))
+    , memoryWaits(metrics.counter(
+          "banyancroft_memory_waits_total", "Bodies and responses that had to wait for memory"))
+    , memoryEnded(
+          metrics.counter("banyancroft_memory_ended_total", "Slow connections ended to make room for others"))
     , answerSeconds(metrics.latency("banyancroft_gateway_answer_seconds", "First byte read to answer"))
     , upstreamSeconds(
           metrics.latency("banyancroft_gateway_upstream_seconds", "Request sent to answer of the replica"))
@@ -103,9 +121,27 @@
           [this](upstreams::RegistryEvent event, const upstreams::Upstream& upstream) {
               registryChanged(event, upstream);
           })
-    , responseMemory_(settings.memoryBytes / responseMemoryDivisor)
+    , memory_(memoryShares(settings.memoryBytes))
     , random_(std::random_device {}())
 {
+    metrics.gauge("banyancroft_gateway_upstream_sockets", "Open connections to replicas",
+        [this] { return static_cast<double>(upstreamSockets_); });
+    metrics.gauge("banyancroft_memory_held_bytes", "Memory of requests, responses and frames",
+        [this] { return static_cast<double>(memory_.total()); });
+    memory_.onEnded([this](const EndedHolder& ended) {
+        metrics_.memoryEnded.add();
+        requestLog_.logStep(BootClock::now(), "ending a slow connection to make room",
+            { { "use", std::string(toString(ended.use)) }, { "bytes", std::to_string(ended.bytes) },
+                { "bytes_per_s", std::to_string(static_cast<std::size_t>(ended.bytesPerSecond)) },
+                { "held_bytes", std::to_string(memory_.total()) } });
+    });
+}
+
+void TrafficManager::recordMemoryWait(std::string_view what)
+{
+    metrics_.memoryWaits.add();
+    requestLog_.logStep(BootClock::now(), "waiting for memory",
+        { { "use", std::string(what) }, { "held_bytes", std::to_string(memory_.total()) } });
 }
 
 TrafficManager::~TrafficManager() = default;
@@ -125,8 +161,9 @@
 {
     auto& pool = pools_[upstream->number];
     if (!pool)
-        pool = std::make_unique<UpstreamPool>(ioContext_, upstream, dialect_.headers.requestId,
-            responseMemory_, startedAt_ + startupCautionPeriod);
+        pool = std::make_unique<UpstreamPool>(
+            ioContext_, upstream, dialect_.headers.requestId, memory_, upstreamSockets_,
+            [this] { recordMemoryWait("response of a replica"); }, startedAt_ + startupCautionPeriod);
     return *pool;
 }
 
@@ -192,7 +229,11 @@
         const bool isReusable
             = reusesAll || std::find(reusable.begin(), reusable.end(), upstream) != reusable.end();
         connectionPool.setLimit(share.perReplica, isReusable);
-        return connectionPool.connectDelay(now);
+        const auto delay = connectionPool.connectDelay(now);
+        if (delay && !connectionPool.hasIdle()
+            && upstreamSockets_ >= maxUpstreamSockets(settings_.maxSockets))
+            return std::optional<Duration>();
+        return delay;
     };
     hooks.maySend = [&](const upstreams::Upstream& upstream) {
         return !upstream.isCold(now)
@@ -210,7 +251,7 @@
     Duration typical, ExchangeOutcome outcome, const ExchangeResponse* response, TimePoint now)
 {
     auto& health = upstream->health;
-    if (outcome == ExchangeOutcome::Abandoned)
+    if (outcome == ExchangeOutcome::Abandoned || outcome == ExchangeOutcome::NoMemory)
         return health.abandoned(sentAt);
     if (outcome == ExchangeOutcome::TimedOut) {
         metrics_.upstreamFailures.add();
@@ -288,6 +329,14 @@
     updateReach(now);
     for (auto& [number, connectionPool] : pools_)
         connectionPool->expire(now);
+    for (auto& [number, connectionPool] : pools_)
+        connectionPool->resumeWaiting(now);
+    // Otherwise idle connections to some replicas would keep requests from the others.
+    const bool lacksSockets = upstreamSockets_ >= maxUpstreamSockets(settings_.maxSockets);
+    for (auto& [number, connectionPool] : pools_) {
+        if (lacksSockets)
+            connectionPool->closeIdle();
+    }
     probeUnresponsiveReplicas(now);
     removeUnusedPools();
 }
@@ -297,6 +346,7 @@
     const auto previousTick = std::exchange(lastTickAt_, now);
     if (previousTick != TimePoint {} && now - previousTick >= maxTickDelay) {
         reach_.restart(now);
+        memory_.restartRates(now);
         coldSendsFrom_ = now + coldPauseAfterStall;
         log(LogLevel::Warn, "gateway", "process was stalled",
             { { "stalled_ms", std::to_string(toMillis(now - previousTick)) } });
--- a/libs/gateway/src/traffic_manager.h
+++ b/libs/gateway/src/traffic_manager.h
@@ -4,6 +4,7 @@
 #include "dispatch/retry_budget.h"
 #include "gateway/dialect.h"
 #include "gateway/settings.h"
+#include "memory_account.h"
 #include "reach_tracker.h"
 #include "request_log.h"
 #include "routing/active_configuration.h"
@@ -55,6 +56,8 @@
     telemetry::Counter& offersDeclined;
     telemetry::Counter& handedOver;
     telemetry::Counter& sentDirectly;
+    telemetry::Counter& memoryWaits;
+    telemetry::Counter& memoryEnded;
     telemetry::LatencyHistogram& answerSeconds;
     telemetry::LatencyHistogram& upstreamSeconds;
 };
@@ -88,6 +91,10 @@
     /** Applies changed limits and delays; changed addresses take effect only after a restart. */
     void applySettings(const Settings& settings, TimePoint now);
     RequestLog& requestLog() { return requestLog_; }
+    /** Memory of requests, responses and frames on all connections. */
+    MemoryAccount& memory() { return memory_; }
+    /** Records that a body or a response has to wait for memory. */
+    void recordMemoryWait(std::string_view what);
     boost::asio::io_context& ioContext() { return ioContext_; }
 
     UpstreamPool& pool(const upstreams::UpstreamPointer& upstream);
@@ -185,7 +192,9 @@
     upstreams::Registry registry_;
     routing::ActiveConfiguration configuration_;
     /** Declared before the connections that use it. */
-    ResponseMemory responseMemory_;
+    MemoryAccount memory_;
+    /** Open connections to replicas. */
+    std::size_t upstreamSockets_ = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<UpstreamPool>> pools_;
     std::unordered_map<std::uint64_t, upstreams::ColdRequestLimiter> coldLimiters_;
     std::unordered_map<ServiceId, dispatch::RetryBudget> budgets_;
--- a/libs/gateway/src/upstream_connection.cpp
+++ b/libs/gateway/src/upstream_connection.cpp
@@ -16,6 +16,8 @@
 constexpr Duration idleCloseMargin = std::chrono::milliseconds(300);
 /** Limit on the body of a response. */
 constexpr std::size_t maxBodyBytes = 8 * 1024 * 1024;
+/** The memory for a response without a length is reserved in steps of this size. */
+constexpr std::size_t reservationStep = 256 * 1024;
 
 } // namespace
 
@@ -25,12 +27,43 @@
     , requestIdField_(std::move(requestIdField))
     , hooks_(std::move(hooks))
     , reader_(http::MessageReader::Kind::Response, { 64 * 1024, maxBodyBytes })
+    , memory_(hooks_.memory, MemoryUse::UpstreamResponse, [] {})
 {
 }
 
-UpstreamConnection::~UpstreamConnection() { releaseMemory(); }
+UpstreamConnection::~UpstreamConnection() = default;
 
-void UpstreamConnection::releaseMemory() { hooks_.memory->release(std::exchange(heldBytes_, 0)); }
+void UpstreamConnection::resetMemory() { memory_.hold(writeBuffer_.size()); }
+
+UpstreamConnection::Room UpstreamConnection::reserveMemory(TimePoint now)
+{
+    const auto received = readBuffer_.size() + reader_.body().size();
+    auto needed = writeBuffer_.size() + received;
+    const auto length
+        = reader_.isHeaderDone() ? reader_.response().fields.find("content-length") : std::nullopt;
+    const auto bodyBytes = length ? http::parseNumber(*length) : std::nullopt;
+    if (bodyBytes) {
+        needed = writeBuffer_.size() + readBuffer_.size() + std::min<std::size_t>(*bodyBytes, maxBodyBytes);
+    } else if (received > MemoryHolder::smallBytes - chunk_.size()) {
+        needed = writeBuffer_.size() + (received / reservationStep + 1) * reservationStep;
+    }
+    if (needed <= memory_.held() || memory_.tryHold(needed, now)) {
+        if (bodyBytes)
+            reader_.body().reserve(needed - writeBuffer_.size() - readBuffer_.size());
+        return Room::Available;
+    }
+    // Responses without a length that all wait for more would wait for each other.
+    const bool mayWait = received <= MemoryHolder::smallBytes && needed <= memory_.maxBytes();
+    return mayWait ? Room::Wait : Room::None;
+}
+
+void UpstreamConnection::resume(TimePoint now)
+{
+    if (closed_ || !waitingForMemory_ || !exchange_ || reserveMemory(now) != Room::Available)
+        return;
+    waitingForMemory_ = false;
+    read();
+}
 
 void UpstreamConnection::connect(
     const tcp::endpoint& upstream, TimePoint deadline, std::function<void(const error_code&)> handler)
@@ -63,6 +96,7 @@
     reader_.begin(exchange_->withoutBody);
     writeBuffer_ = std::move(exchange_->bytes);
     bytesWritten_ = 0;
+    resetMemory();
     write();
 }
 
@@ -77,8 +111,12 @@
             [self = shared_from_this()] { self->closeWith(ExchangeOutcome::Broken); });
         return;
     }
-    if (bytesWritten_ == writeBuffer_.size())
+    if (bytesWritten_ == writeBuffer_.size()) {
+        memory_.hold(memory_.held() - writeBuffer_.size());
+        writeBuffer_ = std::string();
+        bytesWritten_ = 0;
         return;
+    }
     socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const error_code& waitFailure) {
         if (!waitFailure && !self->closed_ && self->exchange_)
             self->write();
@@ -125,10 +163,6 @@
     // No request is pending, so these bytes cannot be a response.
     if (!exchange_)
         return closeWith(ExchangeOutcome::Malformed);
-    const bool fits = hooks_.memory->add(heldBytes_, count);
-    heldBytes_ += count;
-    if (!fits)
-        return closeWith(ExchangeOutcome::TooLong);
     while (exchange_ && !closed_ && !readBuffer_.empty()) {
         std::size_t consumed = 0;
         const auto state = reader_.read(readBuffer_, consumed);
@@ -138,6 +172,14 @@
             if (reader_.isHeaderDone() && !reader_.response().hasFraming
                 && matchResponse() == ResponseMatch::EarlierRequest)
                 return closeWith(ExchangeOutcome::Malformed);
+            const auto room = reserveMemory(hooks_.now());
+            if (room == Room::None)
+                return closeWith(ExchangeOutcome::TooLong);
+            waitingForMemory_ = room == Room::Wait;
+            if (waitingForMemory_) {
+                hasWaitedForMemory_ = true;
+                hooks_.waiting();
+            }
             break;
         }
         if (state == http::ReadState::HeaderTooLong || state == http::ReadState::BodyTooLong)
@@ -151,9 +193,9 @@
             return closeWith(ExchangeOutcome::Malformed);
         returnsRequestId_ = returnsRequestId_ || match == ResponseMatch::EarlierRequest;
         reader_.begin(exchange_->withoutBody);
-        releaseMemory();
+        resetMemory();
     }
-    if (!closed_)
+    if (!closed_ && !waitingForMemory_)
         read();
 }
 
@@ -198,7 +240,12 @@
 void UpstreamConnection::finishExchange(ExchangeOutcome outcome, const ExchangeResponse* response)
 {
     exchange_.reset();
-    releaseMemory();
+    waitingForMemory_ = false;
+    hasWaitedForMemory_ = false;
+    writeBuffer_ = std::string();
+    bytesWritten_ = 0;
+    // The handler counts what it keeps of the response.
+    resetMemory();
     if (const auto handler = std::exchange(handler_, nullptr))
         handler(outcome, response);
 }
@@ -208,6 +255,9 @@
     if (closed_)
         return;
     const auto self = shared_from_this();
+    // A replica that cannot send, because this VM does not read, is neither late nor broken.
+    if (hasWaitedForMemory_ && (outcome == ExchangeOutcome::Broken || outcome == ExchangeOutcome::TimedOut))
+        outcome = ExchangeOutcome::NoMemory;
     reset_ = open_ && outcome == ExchangeOutcome::Broken;
     closed_ = true;
     open_ = false;
--- a/libs/gateway/src/upstream_connection.h
+++ b/libs/gateway/src/upstream_connection.h
@@ -2,7 +2,7 @@
 
 #include "base/time.h"
 #include "http/message_reader.h"
-#include "response_memory.h"
+#include "memory_account.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -29,6 +29,11 @@
     TimedOut,
     /** The owner of the connection cancelled the exchange. */
     Abandoned,
+    /**
+     * No complete response was received because this VM lacked the memory to read it in time; the request may
+     * have been executed.
+     */
+    NoMemory,
 };
 
 /** A request and the parameters for reading its response. */
@@ -64,8 +69,10 @@
         std::function<void(UpstreamConnection&)> closed;
         /** Returns the current time. */
         std::function<TimePoint()> now;
-        /** Memory of the responses on all connections; outlives the connection. */
-        ResponseMemory* memory = nullptr;
+        /** Called when a response has to wait for memory. */
+        std::function<void()> waiting;
+        /** Memory of all connections; outlives the connection. */
+        MemoryAccount* memory = nullptr;
     };
 
     UpstreamConnection(boost::asio::io_context& ioContext, std::string requestIdField, Hooks hooks);
@@ -80,7 +87,8 @@
     void send(Exchange exchange, ExchangeHandler handler);
     /** Returns true if the connect or the current exchange has passed its deadline. */
     bool isOverdue(TimePoint now) const;
-    /** Closes the connection; a pending exchange ends as TimedOut. */
+    /** Closes the connection; a pending exchange ends as TimedOut, or as Abandoned if it waited for memory.
+     */
     void expire();
     /** Closes the connection; a pending exchange ends as Abandoned. */
     void abandon();
@@ -92,6 +100,8 @@
     bool wasReset() const { return reset_; }
     /** True once the replica has responded to a request on this connection. */
     bool hasResponded() const { return hasResponded_; }
+    /** Reads on if there is memory for the response that had to wait. */
+    void resume(TimePoint now);
     /** Returns false shortly before the replica's idle timeout closes the connection. */
     bool isFresh(TimePoint now) const { return now < idleUntil_; }
 
@@ -113,7 +123,11 @@
     /** Handles the orderly end of the connection, which ends a response without a length. */
     void handleEnd();
     ResponseMatch matchResponse() const;
-    void releaseMemory();
+    /** Whether there is memory for a response that is being received. */
+    enum class Room { Available, Wait, None };
+    Room reserveMemory(TimePoint now);
+    /** Counts the request that is still to be written, and nothing of a response. */
+    void resetMemory();
     void complete();
     void finishExchange(ExchangeOutcome outcome, const ExchangeResponse* response);
     void closeWith(ExchangeOutcome outcome);
@@ -127,8 +141,9 @@
     std::array<char, 4096> chunk_ {};
     /** Bytes received but not yet parsed. */
     std::string readBuffer_;
-    /** Bytes of the current response that count in hooks_.memory. */
-    std::size_t heldBytes_ = 0;
+    bool waitingForMemory_ = false;
+    /** The response to the current request has waited for memory at least once. */
+    bool hasWaitedForMemory_ = false;
     std::string writeBuffer_;
     std::size_t bytesWritten_ = 0;
     std::optional<Exchange> exchange_;
@@ -143,6 +158,7 @@
     bool reset_ = false;
     bool open_ = false;
     bool closed_ = false;
+    MemoryHolder memory_;
 };
 
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -25,11 +25,14 @@
 } // namespace
 
 UpstreamPool::UpstreamPool(boost::asio::io_context& ioContext, upstreams::UpstreamPointer upstream,
-    std::string requestIdField, ResponseMemory& memory, TimePoint cautiousUntil)
+    std::string requestIdField, MemoryAccount& memory, std::size_t& openSockets,
+    std::function<void()> waiting, TimePoint cautiousUntil)
     : ioContext_(ioContext)
     , upstream_(std::move(upstream))
     , requestIdField_(std::move(requestIdField))
     , memory_(memory)
+    , openSockets_(openSockets)
+    , waiting_(std::move(waiting))
     , cautiousUntil_(cautiousUntil)
     , handshakeTime_(defaultHandshakeTime)
 {
@@ -91,8 +94,10 @@
     hooks.closed = [this](UpstreamConnection& connection) { removeClosed(connection); };
     hooks.now = [] { return BootClock::now(); };
     hooks.memory = &memory_;
+    hooks.waiting = waiting_;
     auto connection = std::make_shared<UpstreamConnection>(ioContext_, requestIdField_, std::move(hooks));
     connections_.push_back(connection);
+    ++openSockets_;
     ++connecting_;
     boost::system::error_code ignored;
     // The address was validated when the registration was decoded.
@@ -140,7 +145,7 @@
     }
     const auto isSame = [&connection](const auto& entry) { return entry.get() == &connection; };
     idle_.erase(std::remove_if(idle_.begin(), idle_.end(), isSame), idle_.end());
-    connections_.erase(std::remove_if(connections_.begin(), connections_.end(), isSame), connections_.end());
+    openSockets_ -= std::erase_if(connections_, isSame);
 }
 
 void UpstreamPool::expire(TimePoint now)
@@ -159,9 +164,20 @@
         connection->expire();
 }
 
+void UpstreamPool::resumeWaiting(TimePoint now)
+{
+    for (const auto& connection : connections_)
+        connection->resume(now);
+}
+
 void UpstreamPool::retire()
 {
     retired_ = true;
+    closeIdle();
+}
+
+void UpstreamPool::closeIdle()
+{
     const auto idle = idle_;
     for (const auto& connection : idle)
         connection->abandon();
--- a/libs/gateway/src/upstream_pool.h
+++ b/libs/gateway/src/upstream_pool.h
@@ -24,10 +24,12 @@
 public:
     using ConnectHandler = std::function<void(std::shared_ptr<UpstreamConnection>)>;
 
-    /** @param memory must outlive the pool  @param cautiousUntil new connections are used only after a settle
-     * time until then */
+    /** @param memory must outlive the pool  @param openSockets counts the connections of all pools; outlives
+     * the pool  @param waiting called when a response has to wait for memory
+     * @param cautiousUntil new connections are used only after a settle time until then */
     UpstreamPool(boost::asio::io_context& ioContext, upstreams::UpstreamPointer upstream,
-        std::string requestIdField, ResponseMemory& memory, TimePoint cautiousUntil);
+        std::string requestIdField, MemoryAccount& memory, std::size_t& openSockets,
+        std::function<void()> waiting, TimePoint cautiousUntil);
     ~UpstreamPool();
     UpstreamPool(const UpstreamPool&) = delete;
     UpstreamPool& operator=(const UpstreamPool&) = delete;
@@ -60,6 +62,9 @@
     void release(const std::shared_ptr<UpstreamConnection>& connection);
     /** Closes connections that have passed a deadline, and idle ones that the replica is about to close. */
     void expire(TimePoint now);
+    /** Lets connections read on whose response had to wait for memory. */
+    void resumeWaiting(TimePoint now);
+    void closeIdle();
     /** Closes idle connections; busy ones are closed after their request. */
     void retire();
 
@@ -81,7 +86,9 @@
     boost::asio::io_context& ioContext_;
     upstreams::UpstreamPointer upstream_;
     std::string requestIdField_;
-    ResponseMemory& memory_;
+    MemoryAccount& memory_;
+    std::size_t& openSockets_;
+    std::function<void()> waiting_;
     std::size_t limit_ = 1;
     bool reusesConnections_ = true;
     TimePoint cautiousUntil_;
--- a/libs/gateway/tests/test_decisions.cpp
+++ b/libs/gateway/tests/test_decisions.cpp
@@ -156,6 +156,21 @@
     BOOST_TEST(!reach.isCutOff(start + 21s));
 }
 
+// Guards against a VM that stays unready for good after a burst of refusals, since no replica is in another
+// zone.
+BOOST_AUTO_TEST_CASE(vmWithoutReplicasInOtherZonesIsNotCutOff)
+{
+    ReachTracker reach;
+    for (int i = 0; i < 8; ++i)
+        reach.recordFailure(start + 500ms + i * 20ms);
+    reach.restart(start + 660ms);
+    for (int i = 0; i < 8; ++i)
+        reach.recordFailure(start + 2s + i * 20ms);
+    BOOST_TEST(!reach.isCutOff(start + 2200ms));
+    reach.recordOtherZoneSend(start + 2200ms);
+    BOOST_TEST(reach.isCutOff(start + 2210ms));
+}
+
 // All replicas of one shard are down, so all VMs fail the same requests and none may become unready.
 BOOST_AUTO_TEST_CASE(shardDownInAllZonesIsNotCutOff)
 {
--- a/libs/gateway/tests/test_hostile_peers.cpp
+++ b/libs/gateway/tests/test_hostile_peers.cpp
@@ -1,6 +1,6 @@
 #include "endless_server.h"
 #include "gateway/event_loop.h"
-#include "response_memory.h"
+#include "memory_account.h"
 #include "test_routes.h"
 
 #include <boost/test/unit_test.hpp>
@@ -131,16 +131,19 @@
 
 BOOST_AUTO_TEST_CASE(responsesTogetherStayWithinTheMemory)
 {
-    ResponseMemory memory(1024 * 1024);
-    std::size_t held = 0;
-    while (memory.add(held, 4096))
-        held += 4096;
-    BOOST_TEST(held <= 1024U * 1024);
+    MemoryAccount memory({ 1024 * 1024, 128 * 1024 });
+    const TimePoint now { 100s };
+    const auto ignoreEnd = [] {};
+    MemoryHolder response(&memory, MemoryUse::UpstreamResponse, ignoreEnd);
+    while (response.tryHold(response.held() + 4096, now)) { }
+    BOOST_TEST(response.held() <= 1024U * 1024);
     // Small responses are still received.
-    BOOST_TEST(memory.add(0, 4096));
-    BOOST_TEST(!memory.add(256 * 1024, 4096));
-    memory.release(memory.total());
-    BOOST_TEST(memory.add(256 * 1024, 4096));
+    MemoryHolder small(&memory, MemoryUse::UpstreamResponse, ignoreEnd);
+    BOOST_TEST(small.tryHold(4096, now));
+    MemoryHolder large(&memory, MemoryUse::UpstreamResponse, ignoreEnd);
+    BOOST_TEST(!large.tryHold(260 * 1024, now));
+    response.hold(0);
+    BOOST_TEST(large.tryHold(260 * 1024, now));
 }
 
 // Guards against an answer that ends early, in its head or its body, and is passed on as a whole one.
--- /dev/null
+++ b/libs/gateway/tests/test_memory_account.cpp
@@ -0,0 +1,104 @@
+#include "memory_account.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <vector>
+
+using namespace banyancroft;
+using namespace banyancroft::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kibibyte = 1024;
+constexpr MemoryAccount::Limits limits { 1024 * kibibyte, 128 * kibibyte };
+
+/** A holder that gives its memory back when it is ended. */
+struct Peer {
+    Peer(MemoryAccount& account, std::size_t bytes, TimePoint now)
+        : holder(&account, MemoryUse::Caller, [this] {
+            ended = true;
+            holder.hold(0);
+        })
+    {
+        accepted = holder.tryHold(bytes, now);
+        holder.waitForPeer(now);
+    }
+
+    bool ended = false;
+    bool accepted = false;
+    MemoryHolder holder;
+};
+
+} // namespace
+
+// Guards against holders that together exceed the memory, and against large ones that leave no room for small
+// requests.
+BOOST_AUTO_TEST_CASE(holdersTogetherStayWithinTheLimit)
+{
+    MemoryAccount account(limits);
+    const TimePoint now { 100s };
+    std::vector<std::unique_ptr<Peer>> peers;
+    for (int i = 0; i < 8; ++i)
+        peers.push_back(std::make_unique<Peer>(account, 256 * kibibyte, now));
+    BOOST_TEST(account.total() == limits.bytes);
+    BOOST_TEST(!peers.back()->accepted);
+    const Peer small(account, 16 * kibibyte, now);
+    BOOST_TEST(small.accepted);
+    for (int i = 0; i < 20; ++i)
+        peers.push_back(std::make_unique<Peer>(account, 16 * kibibyte, now));
+    BOOST_TEST(account.total() == limits.bytes + limits.smallReserve);
+    peers.clear();
+    BOOST_TEST(account.total() == 16 * kibibyte);
+}
+
+// Guards against the end of callers at an ordinary rate instead of those that make the least progress.
+BOOST_AUTO_TEST_CASE(leastProgressIsEndedFirst)
+{
+    MemoryAccount account(limits);
+    const TimePoint start { 100s };
+    Peer ordinary(account, 256 * kibibyte, start);
+    Peer slow(account, 256 * kibibyte, start);
+    Peer stalled(account, 512 * kibibyte, start);
+    const auto advance = [&](TimePoint now) {
+        ordinary.holder.progressed(100 * kibibyte, now);
+        slow.holder.progressed(1 * kibibyte, now);
+    };
+    // No rate is known yet, so nobody is ended.
+    BOOST_TEST(!Peer(account, 256 * kibibyte, start + 900ms).accepted);
+    advance(start + 1s);
+    Peer first(account, 256 * kibibyte, start + 1100ms);
+    BOOST_TEST(first.accepted);
+    BOOST_TEST(stalled.ended);
+    BOOST_TEST(!slow.ended);
+    Peer second(account, 512 * kibibyte, start + 1100ms);
+    BOOST_TEST(second.accepted);
+    BOOST_TEST(slow.ended);
+    BOOST_TEST(!ordinary.ended);
+    BOOST_TEST(!Peer(account, 256 * kibibyte, start + 1200ms).accepted);
+    BOOST_TEST(!ordinary.ended);
+}
+
+// Guards against the end of all callers after the process was suspended, when none could progress.
+BOOST_AUTO_TEST_CASE(stallOfTheProcessIsNotTheFaultOfThePeers)
+{
+    MemoryAccount account(limits);
+    const TimePoint start { 100s };
+    const Peer peer(account, 1024 * kibibyte, start);
+    account.restartRates(start + 10s);
+    BOOST_TEST(!Peer(account, 256 * kibibyte, start + 10s).accepted);
+    BOOST_TEST(!peer.ended);
+    BOOST_TEST(Peer(account, 256 * kibibyte, start + 11s).accepted);
+}
+
+// Guards against the end of a caller that only waits for this VM.
+BOOST_AUTO_TEST_CASE(holderThatDoesNotWaitForItsPeerIsNotEnded)
+{
+    MemoryAccount account(limits);
+    const TimePoint start { 100s };
+    Peer peer(account, 1024 * kibibyte, start);
+    peer.holder.stopWaitingForPeer();
+    BOOST_TEST(!Peer(account, 256 * kibibyte, start + 10s).accepted);
+    BOOST_TEST(!peer.ended);
+}
--- a/libs/handover/include/handover/frames.h
+++ b/libs/handover/include/handover/frames.h
@@ -117,6 +117,8 @@
      * a frame. After such an error the connection cannot be read any further.
      */
     std::optional<Frame> next(Error& reason);
+    /** Bytes that are kept, read or not. */
+    std::size_t bufferedBytes() const { return buffer_.size(); }
 
 private:
     const std::size_t maxFrameBytes_;
--- a/libs/http/src/message_reader.cpp
+++ b/libs/http/src/message_reader.cpp
@@ -12,6 +12,9 @@
 namespace beast = boost::beast;
 using boost::system::error_code;
 
+/** A body buffer of at most this size is kept for the next message. */
+constexpr std::size_t maxKeptCapacity = 16 * 1024;
+
 /** Elements of one message, filled in by the parser. */
 struct Message {
     RequestHead request;
@@ -27,6 +30,9 @@
         response.fields.clear();
         response.hasFraming = true;
         body.clear();
+        // Otherwise each idle connection would keep the memory of its largest body.
+        if (body.capacity() > maxKeptCapacity)
+            body = std::string();
     }
 };
 
