--- a/libs/gateway/src/caller_connection.h
+++ b/libs/gateway/src/caller_connection.h
@@ -94,6 +94,8 @@
     bool isBusy() const { return awaitingResponse_ || !writeBuffer_.empty(); }
     /** True while a request has been received only in part. */
     bool isReceivingRequest() const { return !awaitingResponse_ && reader_.hasStarted(); }
+    /** True while the caller has not taken its whole response. */
+    bool isWriting() const { return !writeBuffer_.empty(); }
     /** True while a body waits for memory. */
     bool isWaitingForMemory() const { return waitingForMemory_; }
     /** Start of the current request, or of the idle period before it. */
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -88,6 +88,7 @@
         , signals_(ioContext, SIGTERM, SIGINT, SIGHUP)
         , tickTimer_(ioContext)
     {
+        callerListener_.onSlowCaller([this] { traffic_.recordSlowCaller(); });
         callerListener_.onWaiting([this] { traffic_.recordMemoryWait("body of a request"); });
         metrics_.gauge("banyancroft_gateway_config_version", "Version of the configuration in force",
             [this] { return static_cast<double>(traffic_.configuration().version().value); });
--- a/libs/gateway/src/http_listener.cpp
+++ b/libs/gateway/src/http_listener.cpp
@@ -169,8 +169,11 @@
         if (connection->isOverdue(timeouts_, now))
             overdue.push_back(connection);
     }
-    for (const auto& connection : overdue)
+    for (const auto& connection : overdue) {
+        if (connection->isWriting() && slowCaller_)
+            slowCaller_();
         connection->expire();
+    }
     resumeWaiting(now);
     accept();
 }
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -103,6 +103,8 @@
           "banyancroft_memory_waits_total", "Bodies and responses that had to wait for memory"))
     , memoryEnded(
           metrics.counter("banyancroft_memory_ended_total", "Slow connections ended to make room for others"))
+    , slowCallers(metrics.counter("banyancroft_gateway_slow_callers_total",
+          "Connections closed because the caller took its response too slowly"))
     , answerSeconds(metrics.latency("banyancroft_gateway_answer_seconds", "First byte read to answer"))
     , upstreamSeconds(
           metrics.latency("banyancroft_gateway_upstream_seconds", "Request sent to answer of the replica"))
@@ -144,6 +146,13 @@
         { { "use", std::string(what) }, { "held_bytes", std::to_string(memory_.total()) } });
 }
 
+void TrafficManager::recordSlowCaller()
+{
+    metrics_.slowCallers.add();
+    requestLog_.logStep(BootClock::now(), "closing connection whose caller does not take its response",
+        { { "held_bytes", std::to_string(memory_.total()) } });
+}
+
 TrafficManager::~TrafficManager() = default;
 
 void TrafficManager::registryChanged(upstreams::RegistryEvent event, const upstreams::Upstream& upstream)
--- a/libs/gateway/src/traffic_manager.h
+++ b/libs/gateway/src/traffic_manager.h
@@ -58,6 +58,7 @@
     telemetry::Counter& sentDirectly;
     telemetry::Counter& memoryWaits;
     telemetry::Counter& memoryEnded;
+    telemetry::Counter& slowCallers;
     telemetry::LatencyHistogram& answerSeconds;
     telemetry::LatencyHistogram& upstreamSeconds;
 };
@@ -95,6 +96,8 @@
     MemoryAccount& memory() { return memory_; }
     /** Records that a body or a response has to wait for memory. */
     void recordMemoryWait(std::string_view what);
+    /** Records that a connection was closed because its caller took its response too slowly. */
+    void recordSlowCaller();
     boost::asio::io_context& ioContext() { return ioContext_; }
 
     UpstreamPool& pool(const upstreams::UpstreamPointer& upstream);
--- a/libs/gateway/tests/test_memory_account.cpp
+++ b/libs/gateway/tests/test_memory_account.cpp
@@ -40,6 +40,7 @@
     MemoryAccount account(limits);
     const TimePoint now { 100s };
     std::vector<std::unique_ptr<Peer>> peers;
+    peers.reserve(28);
     for (int i = 0; i < 8; ++i)
         peers.push_back(std::make_unique<Peer>(account, 256 * kibibyte, now));
     BOOST_TEST(account.total() == limits.bytes);
