Share the body of a request between all its sends

Cause: each send of a scatter-gather request kept a copy of the body until the replica had taken it, so one request of 262,144 bytes over 54 shards could hold 14 MB that no limit refused. Change: Exchange carries the head and a shared body; http::serialiseRequestHead() writes the head alone.

--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -49,7 +49,7 @@
     , respond_(request.respond)
     , onDisconnect_(request.onDisconnect)
     , head_(request.head)
-    , body_(request.body)
+    , body_(std::make_shared<const std::string>(request.body))
     , memory_(&traffic.memory(), MemoryUse::Parts, [] {})
     , requestId_(std::move(routed.requestId))
     , arrivedAt_(request.arrivedAt)
@@ -99,7 +99,7 @@
 
 void RequestRunner::start(TimePoint now)
 {
-    memory_.hold(body_.size());
+    memory_.hold(body_->size());
     history_.longestDeadline = std::max(history_.longestDeadline, deadline_);
     if (traffic_.isConfigurationOutdated())
         return finish(unavailableResponse(traffic_.dialect().headers, configurationRetryAfter),
@@ -302,7 +302,7 @@
         });
 }
 
-std::string RequestRunner::serialiseRequestFor(const upstreams::Upstream& upstream, TimePoint now) const
+std::string RequestRunner::serialiseHeadFor(const upstreams::Upstream& upstream, TimePoint now) const
 {
     const auto& names = traffic_.dialect().headers;
     const auto remaining = std::max<Duration>(plan_->rules().deadline - now, std::chrono::milliseconds(1));
@@ -315,7 +315,8 @@
     // Replicas see neither API keys nor a customer that the caller has named itself.
     const std::array<std::string_view, 2> secrets { names.authorization, names.customer };
     const auto removed = std::span(secrets).first(routes_->configuration().requiresKeys ? secrets.size() : 0);
-    return http::serialiseRequest(head_.method, head_.target, head_.fields, replaced, body_, removed);
+    return http::serialiseRequestHead(
+        head_.method, head_.target, head_.fields, replaced, body_->size(), removed);
 }
 
 void RequestRunner::sendOnConnection(
@@ -332,7 +333,8 @@
     traffic_.recordStart(*attempt->upstream, now);
     traffic_.metrics().subRequests.add();
     Exchange exchange;
-    exchange.bytes = serialiseRequestFor(*attempt->upstream, now);
+    exchange.head = serialiseHeadFor(*attempt->upstream, now);
+    exchange.body = body_;
     exchange.requestId = requestId_;
     exchange.withoutBody = head_.method == "HEAD";
     exchange.deadline = plan_->rules().deadline;
--- a/libs/gateway/src/request_runner.h
+++ b/libs/gateway/src/request_runner.h
@@ -40,7 +40,7 @@
     void connect(const AttemptPointer& attempt, TimePoint now);
     void sendOnConnection(
         const AttemptPointer& attempt, const std::shared_ptr<UpstreamConnection>& connection, TimePoint now);
-    std::string serialiseRequestFor(const upstreams::Upstream& upstream, TimePoint now) const;
+    std::string serialiseHeadFor(const upstreams::Upstream& upstream, TimePoint now) const;
     void handleAttemptEnd(const AttemptPointer& attempt, ExchangeOutcome outcome,
         const ExchangeResponse* response, TimePoint now);
     void handleResponse(const AttemptPointer& attempt, const ExchangeResponse& response, TimePoint now);
@@ -63,7 +63,7 @@
     const std::function<void(const http::Response&, bool)> respond_;
     const std::function<void(std::function<void()>)> onDisconnect_;
     http::RequestHead head_;
-    std::string body_;
+    const std::shared_ptr<const std::string> body_;
     /** The body and the parts received so far. */
     MemoryHolder memory_;
     std::string requestId_;
--- a/libs/gateway/src/upstream_connection.cpp
+++ b/libs/gateway/src/upstream_connection.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+
 namespace banyancroft::gateway {
 
 namespace {
@@ -94,7 +96,8 @@
     exchange_ = std::move(exchange);
     handler_ = std::move(handler);
     reader_.begin(exchange_->withoutBody);
-    writeBuffer_ = std::move(exchange_->bytes);
+    writeBuffer_ = std::move(exchange_->head);
+    writeBody_ = std::move(exchange_->body);
     bytesWritten_ = 0;
     resetMemory();
     write();
@@ -103,19 +106,19 @@
 void UpstreamConnection::write()
 {
     error_code failure;
-    bytesWritten_ += socket_.write_some(
-        boost::asio::buffer(writeBuffer_.data() + bytesWritten_, writeBuffer_.size() - bytesWritten_),
-        failure);
+    const auto headSent = std::min(bytesWritten_, writeBuffer_.size());
+    std::array<boost::asio::const_buffer, 2> buffers { boost::asio::buffer(writeBuffer_) + headSent };
+    if (writeBody_)
+        buffers[1] = boost::asio::buffer(*writeBody_) + (bytesWritten_ - headSent);
+    bytesWritten_ += socket_.write_some(buffers, failure);
     if (failure && failure != boost::asio::error::would_block) {
         boost::asio::post(socket_.get_executor(),
             [self = shared_from_this()] { self->closeWith(ExchangeOutcome::Broken); });
         return;
     }
-    if (bytesWritten_ == writeBuffer_.size()) {
-        memory_.hold(memory_.held() - writeBuffer_.size());
-        writeBuffer_ = std::string();
-        bytesWritten_ = 0;
-        return;
+    if (bytesWritten_ == requestBytes()) {
+        memory_.hold(memory_.held() - std::min(memory_.held(), writeBuffer_.size()));
+        return clearRequest();
     }
     socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const error_code& waitFailure) {
         if (!waitFailure && !self->closed_ && self->exchange_)
@@ -123,6 +126,13 @@
     });
 }
 
+void UpstreamConnection::clearRequest()
+{
+    writeBuffer_ = std::string();
+    writeBody_.reset();
+    bytesWritten_ = 0;
+}
+
 void UpstreamConnection::read()
 {
     socket_.async_read_some(boost::asio::buffer(chunk_),
@@ -203,7 +213,7 @@
 {
     hasResponded_ = true;
     returnsRequestId_ = reader_.response().fields.find(requestIdField_).has_value();
-    const bool reusable = readBuffer_.empty() && bytesWritten_ == writeBuffer_.size()
+    const bool reusable = readBuffer_.empty() && bytesWritten_ == requestBytes()
         && reader_.response().hasFraming && reader_.keepsAlive();
     updateIdleTimeout();
     const auto self = shared_from_this();
@@ -242,8 +252,7 @@
     exchange_.reset();
     waitingForMemory_ = false;
     hasWaitedForMemory_ = false;
-    writeBuffer_ = std::string();
-    bytesWritten_ = 0;
+    clearRequest();
     // The handler counts what it keeps of the response.
     resetMemory();
     if (const auto handler = std::exchange(handler_, nullptr))
--- a/libs/gateway/src/upstream_connection.h
+++ b/libs/gateway/src/upstream_connection.h
@@ -38,8 +38,10 @@
 
 /** A request and the parameters for reading its response. */
 struct Exchange {
-    /** The serialised request. */
-    std::string bytes;
+    /** The serialised request, without the body. */
+    std::string head;
+    /** Body that all sends of the request share; may be null. */
+    std::shared_ptr<const std::string> body;
     /** Responses that carry another request ID are discarded. */
     std::string requestId;
     /** True for HEAD, whose response has no body. */
@@ -118,6 +120,9 @@
     };
 
     void write();
+    /** Bytes of the request that is being written; zero once it is written. */
+    std::size_t requestBytes() const { return writeBuffer_.size() + (writeBody_ ? writeBody_->size() : 0); }
+    void clearRequest();
     void read();
     void handleBytes(std::size_t count);
     /** Handles the orderly end of the connection, which ends a response without a length. */
@@ -145,6 +150,7 @@
     /** The response to the current request has waited for memory at least once. */
     bool hasWaitedForMemory_ = false;
     std::string writeBuffer_;
+    std::shared_ptr<const std::string> writeBody_;
     std::size_t bytesWritten_ = 0;
     std::optional<Exchange> exchange_;
     ExchangeHandler handler_;
--- a/libs/http/include/http/message_writer.h
+++ b/libs/http/include/http/message_writer.h
@@ -32,6 +32,10 @@
 std::string serialiseRequest(std::string_view method, std::string_view target, const FieldList& fields,
     std::span<const Field> replaced, std::string_view body, std::span<const std::string_view> removed = {});
 
+/** The same without the body, which has `bodyBytes` bytes and is sent after it. */
+std::string serialiseRequestHead(std::string_view method, std::string_view target, const FieldList& fields,
+    std::span<const Field> replaced, std::size_t bodyBytes, std::span<const std::string_view> removed = {});
+
 /** Reason phrase of RFC 9110 for a status; "Unknown" for others. */
 std::string_view reasonPhrase(unsigned status);
 
--- a/libs/http/src/message_writer.cpp
+++ b/libs/http/src/message_writer.cpp
@@ -30,15 +30,15 @@
     return text;
 }
 
-std::string serialiseRequest(std::string_view method, std::string_view target, const FieldList& fields,
-    std::span<const Field> replaced, std::string_view body, std::span<const std::string_view> removed)
+std::string serialiseRequestHead(std::string_view method, std::string_view target, const FieldList& fields,
+    std::span<const Field> replaced, std::size_t bodyBytes, std::span<const std::string_view> removed)
 {
     std::string text;
     constexpr std::size_t typicalHeadBytes = 512;
-    text.reserve(typicalHeadBytes + body.size());
+    text.reserve(typicalHeadBytes);
     text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
     // The caller framed the body by Content-Length or chunks; the Content-Length added below replaces both.
-    bool hadBody = !body.empty();
+    bool hadBody = bodyBytes > 0;
     for (std::size_t i = 0; i < fields.size(); ++i) {
         const auto field = fields.at(i);
         const bool isContentLength = equalsIgnoringCase(field.name, "content-length");
@@ -55,8 +55,16 @@
     for (const auto& field : replaced)
         text.append(field.name).append(": ").append(field.value).append("\r\n");
     if (hadBody)
-        text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
-    text.append("\r\n").append(body);
+        text.append("Content-Length: ").append(std::to_string(bodyBytes)).append("\r\n");
+    text.append("\r\n");
+    return text;
+}
+
+std::string serialiseRequest(std::string_view method, std::string_view target, const FieldList& fields,
+    std::span<const Field> replaced, std::string_view body, std::span<const std::string_view> removed)
+{
+    auto text = serialiseRequestHead(method, target, fields, replaced, body.size(), removed);
+    text.append(body);
     return text;
 }
 
