--- a/libs/gateway/src/credit_gate.cpp
+++ b/libs/gateway/src/credit_gate.cpp
@@ -82,7 +82,7 @@
     , ledger_(traffic.settings().customerLimits)
     , fallback_(traffic.settings().customerLimits)
     , standing_(traffic.settings().customerLimits)
-    , links_(traffic.ioContext(), [](const handover::UpstreamLeaving&) {})
+    , links_(traffic.ioContext(), traffic.memory(), [](const handover::UpstreamLeaving&) {})
 {
 }
 
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -50,7 +50,8 @@
     , respond_(request.respond)
     , onDisconnect_(request.onDisconnect)
     , head_(request.head)
-    , body_(request.body)
+    , body_(std::make_shared<const std::string>(request.body))
+    , memory_(&traffic.memory(), MemoryUse::Parts, [] {})
     , requestId_(std::move(routed.requestId))
     , arrivedAt_(request.arrivedAt)
     , openedConnection_(request.openedConnection)
@@ -104,6 +105,7 @@
 
 void RequestRunner::start(TimePoint now)
 {
+    memory_.hold(body_->size());
     history_.longestDeadline = std::max(history_.longestDeadline, deadline_);
     if (traffic_.isConfigurationOutdated())
         return finish(unavailableResponse(traffic_.dialect().headers, configurationRetryAfter),
@@ -339,7 +341,7 @@
         });
 }
 
-std::string RequestRunner::serialiseRequestFor(const upstreams::Upstream& upstream, TimePoint now) const
+std::string RequestRunner::serialiseHeadFor(const upstreams::Upstream& upstream, TimePoint now) const
 {
     const auto& names = traffic_.dialect().headers;
     const auto remaining = std::max<Duration>(plan_->rules().deadline - now, std::chrono::milliseconds(1));
@@ -352,7 +354,8 @@
     // Replicas see neither API keys nor a customer that the caller has named itself.
     const std::array<std::string_view, 2> secrets { names.authorization, names.customer };
     const auto removed = std::span(secrets).first(routes_->configuration().requiresKeys ? secrets.size() : 0);
-    return http::serialiseRequest(head_.method, head_.target, head_.fields, replaced, body_, removed);
+    return http::serialiseRequestHead(
+        head_.method, head_.target, head_.fields, replaced, body_->size(), removed);
 }
 
 void RequestRunner::sendOnConnection(
@@ -369,7 +372,8 @@
     traffic_.recordStart(*attempt->upstream, now);
     traffic_.metrics().subRequests.add();
     Exchange exchange;
-    exchange.bytes = serialiseRequestFor(*attempt->upstream, now);
+    exchange.head = serialiseHeadFor(*attempt->upstream, now);
+    exchange.body = body_;
     exchange.requestId = requestId_;
     exchange.withoutBody = head_.method == "HEAD";
     exchange.deadline = plan_->rules().deadline;
@@ -400,12 +404,14 @@
         handleResponse(attempt, *response, now);
     } else {
         plan_->failed(attempt->shard);
+        lackedMemory_ = lackedMemory_ || outcome == ExchangeOutcome::NoMemory;
         traffic_.requestLog().logStep(now, "no valid response from replica",
             { { "id", requestId_ }, { "upstream", attempt->upstream->record.id.str() },
                 { "end",
                     outcome == ExchangeOutcome::Malformed      ? "malformed"
                         : outcome == ExchangeOutcome::TooLong  ? "too long"
                         : outcome == ExchangeOutcome::TimedOut ? "timeout"
+                        : outcome == ExchangeOutcome::NoMemory ? "no memory"
                                                                : "broken" },
                 { "after_ms", formatMillis(now - attempt->sentAt) } });
     }
@@ -415,6 +421,7 @@
 void RequestRunner::handleResponse(
     const AttemptPointer& attempt, const ExchangeResponse& response, TimePoint now)
 {
+    memory_.hold(memory_.held() + response.body.size());
     const auto kind = classifyResponse(response.head, traffic_.dialect());
     if (kind == ResponseKind::Result) {
         const auto signature = response.head.fields.find(traffic_.dialect().headers.signature);
@@ -486,7 +493,9 @@
 void RequestRunner::respondWithFailure(TimePoint now)
 {
     traffic_.metrics().failed.add();
-    traffic_.reach().recordFailure(now);
+    // A replica whose answer this VM could not take in was reached.
+    if (!lackedMemory_)
+        traffic_.reach().recordFailure(now);
     if (failureResponse_)
         return finish(*failureResponse_, "failure of the replica", now);
     const bool late = now >= plan_->rules().deadline;
--- a/libs/gateway/src/request_runner.h
+++ b/libs/gateway/src/request_runner.h
@@ -44,7 +44,7 @@
     void connect(const AttemptPointer& attempt, TimePoint now);
     void sendOnConnection(
         const AttemptPointer& attempt, const std::shared_ptr<UpstreamConnection>& connection, TimePoint now);
-    std::string serialiseRequestFor(const upstreams::Upstream& upstream, TimePoint now) const;
+    std::string serialiseHeadFor(const upstreams::Upstream& upstream, TimePoint now) const;
     void handleAttemptEnd(const AttemptPointer& attempt, ExchangeOutcome outcome,
         const ExchangeResponse* response, TimePoint now);
     void handleResponse(const AttemptPointer& attempt, const ExchangeResponse& response, TimePoint now);
@@ -68,7 +68,9 @@
     const std::function<void(const http::Response&, bool)> respond_;
     const std::function<void(std::function<void()>)> onDisconnect_;
     http::RequestHead head_;
-    std::string body_;
+    const std::shared_ptr<const std::string> body_;
+    /** The body and the parts received so far. */
+    MemoryHolder memory_;
     std::string requestId_;
     const TimePoint arrivedAt_;
     const bool openedConnection_;
@@ -88,6 +90,8 @@
     std::optional<http::Response> failureResponse_;
     boost::asio::steady_timer timer_;
     unsigned repeats_ = 0;
+    /** An attempt failed because this VM lacked memory for the response. */
+    bool lackedMemory_ = false;
     bool finished_ = false;
     bool hasCredit_ = false;
     bool runningPlan_ = false;
--- a/libs/gateway/src/upstream_connection.cpp
+++ b/libs/gateway/src/upstream_connection.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+
 namespace banyancroft::gateway {
 
 namespace {
@@ -16,6 +18,8 @@
 constexpr Duration idleCloseMargin = std::chrono::milliseconds(300);
 /** Limit on the body of a response. */
 constexpr std::size_t maxBodyBytes = 8 * 1024 * 1024;
+/** The memory for a response without a length is reserved in steps of this size. */
+constexpr std::size_t reservationStep = 256 * 1024;
 
 } // namespace
 
@@ -25,12 +29,43 @@
     , requestIdField_(std::move(requestIdField))
     , hooks_(std::move(hooks))
     , reader_(http::MessageReader::Kind::Response, { 64 * 1024, maxBodyBytes })
+    , memory_(hooks_.memory, MemoryUse::UpstreamResponse, [] {})
 {
 }
 
-UpstreamConnection::~UpstreamConnection() { releaseMemory(); }
+UpstreamConnection::~UpstreamConnection() = default;
 
-void UpstreamConnection::releaseMemory() { hooks_.memory->release(std::exchange(heldBytes_, 0)); }
+void UpstreamConnection::resetMemory() { memory_.hold(writeBuffer_.size()); }
+
+UpstreamConnection::Room UpstreamConnection::reserveMemory(TimePoint now)
+{
+    const auto received = readBuffer_.size() + reader_.body().size();
+    auto needed = writeBuffer_.size() + received;
+    const auto length
+        = reader_.isHeaderDone() ? reader_.response().fields.find("content-length") : std::nullopt;
+    const auto bodyBytes = length ? http::parseNumber(*length) : std::nullopt;
+    if (bodyBytes) {
+        needed = writeBuffer_.size() + readBuffer_.size() + std::min<std::size_t>(*bodyBytes, maxBodyBytes);
+    } else if (received > MemoryHolder::smallBytes - chunk_.size()) {
+        needed = writeBuffer_.size() + (received / reservationStep + 1) * reservationStep;
+    }
+    if (needed <= memory_.held() || memory_.tryHold(needed, now)) {
+        if (bodyBytes)
+            reader_.body().reserve(needed - writeBuffer_.size() - readBuffer_.size());
+        return Room::Available;
+    }
+    // Responses without a length that all wait for more would wait for each other.
+    const bool mayWait = received <= MemoryHolder::smallBytes && needed <= memory_.maxBytes();
+    return mayWait ? Room::Wait : Room::None;
+}
+
+void UpstreamConnection::resume(TimePoint now)
+{
+    if (closed_ || !waitingForMemory_ || !exchange_ || reserveMemory(now) != Room::Available)
+        return;
+    waitingForMemory_ = false;
+    read();
+}
 
 void UpstreamConnection::connect(
     const tcp::endpoint& upstream, TimePoint deadline, std::function<void(const error_code&)> handler)
@@ -61,30 +96,43 @@
     exchange_ = std::move(exchange);
     handler_ = std::move(handler);
     reader_.begin(exchange_->withoutBody);
-    writeBuffer_ = std::move(exchange_->bytes);
+    writeBuffer_ = std::move(exchange_->head);
+    writeBody_ = std::move(exchange_->body);
     bytesWritten_ = 0;
+    resetMemory();
     write();
 }
 
 void UpstreamConnection::write()
 {
     error_code failure;
-    bytesWritten_ += socket_.write_some(
-        boost::asio::buffer(writeBuffer_.data() + bytesWritten_, writeBuffer_.size() - bytesWritten_),
-        failure);
+    const auto headSent = std::min(bytesWritten_, writeBuffer_.size());
+    std::array<boost::asio::const_buffer, 2> buffers { boost::asio::buffer(writeBuffer_) + headSent };
+    if (writeBody_)
+        buffers[1] = boost::asio::buffer(*writeBody_) + (bytesWritten_ - headSent);
+    bytesWritten_ += socket_.write_some(buffers, failure);
     if (failure && failure != boost::asio::error::would_block) {
         boost::asio::post(socket_.get_executor(),
             [self = shared_from_this()] { self->closeWith(ExchangeOutcome::Broken); });
         return;
     }
-    if (bytesWritten_ == writeBuffer_.size())
-        return;
+    if (bytesWritten_ == requestBytes()) {
+        memory_.hold(memory_.held() - std::min(memory_.held(), writeBuffer_.size()));
+        return clearRequest();
+    }
     socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const error_code& waitFailure) {
         if (!waitFailure && !self->closed_ && self->exchange_)
             self->write();
     });
 }
 
+void UpstreamConnection::clearRequest()
+{
+    writeBuffer_ = std::string();
+    writeBody_.reset();
+    bytesWritten_ = 0;
+}
+
 void UpstreamConnection::read()
 {
     socket_.async_read_some(boost::asio::buffer(chunk_),
@@ -110,8 +158,7 @@
 
 UpstreamConnection::ResponseMatch UpstreamConnection::matchResponse() const
 {
-    constexpr unsigned firstFinalStatus = 200;
-    if (reader_.response().status < firstFinalStatus)
+    if (http::isInterimStatus(reader_.response().status))
         return ResponseMatch::Interim;
     const auto responseId = reader_.response().fields.find(requestIdField_);
     if (!responseId)
@@ -126,10 +173,6 @@
     // No request is pending, so these bytes cannot be a response.
     if (!exchange_)
         return closeWith(ExchangeOutcome::Malformed);
-    const bool fits = hooks_.memory->add(heldBytes_, count);
-    heldBytes_ += count;
-    if (!fits)
-        return closeWith(ExchangeOutcome::TooLong);
     while (exchange_ && !closed_ && !readBuffer_.empty()) {
         std::size_t consumed = 0;
         const auto state = reader_.read(readBuffer_, consumed);
@@ -139,6 +182,14 @@
             if (reader_.isHeaderDone() && !reader_.response().hasFraming
                 && matchResponse() == ResponseMatch::EarlierRequest)
                 return closeWith(ExchangeOutcome::Malformed);
+            const auto room = reserveMemory(hooks_.now());
+            if (room == Room::None)
+                return closeWith(ExchangeOutcome::TooLong);
+            waitingForMemory_ = room == Room::Wait;
+            if (waitingForMemory_) {
+                hasWaitedForMemory_ = true;
+                hooks_.waiting();
+            }
             break;
         }
         if (state == http::ReadState::HeaderTooLong || state == http::ReadState::BodyTooLong)
@@ -152,9 +203,9 @@
             return closeWith(ExchangeOutcome::Malformed);
         returnsRequestId_ = returnsRequestId_ || match == ResponseMatch::EarlierRequest;
         reader_.begin(exchange_->withoutBody);
-        releaseMemory();
+        resetMemory();
     }
-    if (!closed_)
+    if (!closed_ && !waitingForMemory_)
         read();
 }
 
@@ -162,7 +213,7 @@
 {
     hasResponded_ = true;
     returnsRequestId_ = reader_.response().fields.find(requestIdField_).has_value();
-    const bool reusable = readBuffer_.empty() && bytesWritten_ == writeBuffer_.size()
+    const bool reusable = readBuffer_.empty() && bytesWritten_ == requestBytes()
         && reader_.response().hasFraming && reader_.keepsAlive();
     updateIdleTimeout();
     const auto self = shared_from_this();
@@ -199,7 +250,11 @@
 void UpstreamConnection::finishExchange(ExchangeOutcome outcome, const ExchangeResponse* response)
 {
     exchange_.reset();
-    releaseMemory();
+    waitingForMemory_ = false;
+    hasWaitedForMemory_ = false;
+    clearRequest();
+    // The handler counts what it keeps of the response.
+    resetMemory();
     if (const auto handler = std::exchange(handler_, nullptr))
         handler(outcome, response);
 }
@@ -209,6 +264,9 @@
     if (closed_)
         return;
     const auto self = shared_from_this();
+    // A replica that cannot send, because this VM does not read, is neither late nor broken.
+    if (hasWaitedForMemory_ && (outcome == ExchangeOutcome::Broken || outcome == ExchangeOutcome::TimedOut))
+        outcome = ExchangeOutcome::NoMemory;
     reset_ = open_ && outcome == ExchangeOutcome::Broken;
     closed_ = true;
     open_ = false;
--- a/libs/http/src/message_reader.cpp
+++ b/libs/http/src/message_reader.cpp
@@ -12,6 +12,9 @@
 namespace beast = boost::beast;
 using boost::system::error_code;
 
+/** A body buffer of at most this size is kept for the next message. */
+constexpr std::size_t maxKeptCapacity = 16 * 1024;
+
 /** Elements of one message, filled in by the parser. */
 struct Message {
     RequestHead request;
@@ -27,6 +30,9 @@
         response.fields.clear();
         response.hasFraming = true;
         body.clear();
+        // Otherwise each idle connection would keep the memory of its largest body.
+        if (body.capacity() > maxKeptCapacity)
+            body = std::string();
     }
 };
 
@@ -52,9 +58,12 @@
         message_.request.target = view(target);
     }
 
-    void on_response_impl(int status, Text, int, error_code&) override
+    void on_response_impl(int status, Text, int, error_code& failure) override
     {
         message_.response.status = static_cast<unsigned>(status);
+        // Without an Upgrade field in the request, 101 is as invalid as a status outside of the five classes.
+        if (!isInterimStatus(message_.response.status) && !isFinalStatus(message_.response.status))
+            failure = beast::http::error::bad_status;
     }
 
     void on_field_impl(beast::http::field, Text name, Text value, error_code&) override
