Limit how fast latencies that one VM sees can end a roll-out

The caller sends 10,000 requests/s one after the other, answers take 60 us, and any answer above 120 us counted as slow. The samples of one VM had no limit on the growth of the evidence, so 15 such answers in a row, 2 ms of a busy machine, ended the roll-out. On a deployment a VM that lacks processor time for a moment would do the same for the whole fleet.

Change: an answer is slow only if it is also 2 ms above the median; latencies that one VM sees grow the evidence by a limited amount each half second, as those of all VMs do; without current samples of the other versions they decide only over several VMs. Failures are judged as before.

--- a/libs/rollout/include/rollout/version_comparison.h
+++ b/libs/rollout/include/rollout/version_comparison.h
@@ -57,15 +57,16 @@
  * zone, which affects both, is no evidence.
  *
  * At the full share there are no such samples. Then the evidence has to be greater and, if the target version
- * runs in several zones, has to come from two of them. Simultaneous bad answers of one replica, which pause
- * together, count once. Owned by one thread; no I/O.
+ * runs in several zones, has to come from two of them; latencies then decide only over several VMs.
+ * Simultaneous bad answers of one replica, which pause together, count once. Owned by one thread; no I/O.
  */
 class VersionComparison {
 public:
     enum class Scope {
         OneVm,
         /** Samples of several VMs. A replica that pauses gives each of them bad answers at the same time, so
-         * the evidence grows by a limited amount each half second. */
+         * the evidence grows by a limited amount each half second. That of one VM does so for latencies only.
+         */
         AllVms,
     };
 
--- a/libs/rollout/src/version_comparison.cpp
+++ b/libs/rollout/src/version_comparison.cpp
@@ -13,8 +13,9 @@
 constexpr double decisiveLogRatio = 14;
 /** The same while there are no current samples of the other versions to compare with. */
 constexpr double decisiveLogRatioUnpaired = 28;
-/** Growth of the evidence of several VMs in half a second, with and without current samples of the other
- * versions: a pause of one replica, which lasts some 300 ms, must not decide. */
+/** Growth of the evidence in half a second, with and without current samples of the other versions: a pause
+ * of one replica or of this VM, which lasts some 300 ms, must not decide. Failures that one VM sees are not
+ * limited, since pauses cause none. */
 constexpr double maxGrowth = 5;
 constexpr double maxGrowthUnpaired = 14;
 constexpr Duration growthPeriod = std::chrono::milliseconds(450);
@@ -41,9 +42,11 @@
 constexpr std::size_t keptLatencies = 64;
 constexpr std::size_t minLatencies = 10;
 constexpr unsigned latencyUpdateInterval = 8;
-/** An answer is slow above this factor of the median and above the quantile. */
+/** An answer is slow above this factor of the median, above the quantile, and by this time above the median,
+ * which the scheduling of a busy machine adds at any time. */
 constexpr double slowMedianFactor = 2;
 constexpr double slowQuantile = 0.9;
+constexpr Duration minSlowExcess = std::chrono::milliseconds(2);
 
 double badRate(double bad, double samples, Symptom symptom)
 {
@@ -88,7 +91,8 @@
     std::vector<Duration> sorted(latencies.recent.begin(), latencies.recent.end());
     std::sort(sorted.begin(), sorted.end());
     const auto quantile = sorted[static_cast<std::size_t>(slowQuantile * static_cast<double>(sorted.size()))];
-    latencies.slowFrom = std::max(quantile, scaled(sorted[sorted.size() / 2], slowMedianFactor));
+    const auto median = sorted[sorted.size() / 2];
+    latencies.slowFrom = std::max({ quantile, scaled(median, slowMedianFactor), median + minSlowExcess });
 }
 
 bool VersionComparison::isRepeated(const Sample& sample, Symptom symptom, bool bad, TimePoint now)
@@ -150,7 +154,7 @@
         auto& logRatio = evidence.logRatios[i];
         logRatio += bad * std::log(faulty / usual) + good * std::log((1 - faulty) / (1 - usual));
         logRatio = std::max(logRatio, 0.0);
-        if (scope_ == Scope::AllVms)
+        if (scope_ == Scope::AllVms || group.symptom == Symptom::Latency)
             logRatio = std::min(logRatio, evidence.earlierLogRatios[i] + growth);
     }
     decide(group, now);
@@ -168,6 +172,10 @@
     if (evidence.strongest() < (isCurrent ? decisiveLogRatio : decisiveLogRatioUnpaired))
         return;
     if (!isCurrent) {
+        // Without others to compare with, latencies that one VM sees may be due to its own lack of processor
+        // time.
+        if (scope_ == Scope::OneVm && group.symptom == Symptom::Latency)
+            return;
         // A fault of one zone is no fault of the version.
         std::set<std::string> zones;
         for (const auto& [other, otherEvidence] : evidence_) {
--- a/libs/rollout/tests/test_rollout.cpp
+++ b/libs/rollout/tests/test_rollout.cpp
@@ -110,6 +110,36 @@
     }
 }
 
+// Guards against roll-backs because one VM has little processor time for a moment: the answers that it reads
+// meanwhile are all late, whatever their version.
+BOOST_AUTO_TEST_CASE(pauseOfOneVmIsNoReason)
+{
+    const auto isBadAfter = [](Duration usual, Duration slow, Duration sinceOthers) {
+        VersionComparison comparison;
+        TimePoint now(seconds(100));
+        const auto record = [&](bool isTarget, Duration latency) {
+            now += latency;
+            comparison.record(
+                { "lookup", "a", isTarget ? 1U : 2U, isTarget, false, true, now - latency }, now);
+        };
+        for (int i = 0; i < 1000; ++i)
+            record(i % 4 == 0, usual);
+        record(false, usual);
+        now += sinceOthers;
+        for (const auto end = now + milliseconds(300); now < end;)
+            record(true, slow);
+        return comparison.isTargetBad();
+    };
+    using std::chrono::microseconds;
+    for (const auto sinceOthers : { milliseconds(1), milliseconds(1200) }) {
+        BOOST_TEST_CONTEXT("ms since the latest sample of the other version " << sinceOthers.count())
+        {
+            BOOST_TEST(!isBadAfter(microseconds(61), microseconds(180), sinceOthers));
+            BOOST_TEST(!isBadAfter(milliseconds(3), milliseconds(12), sinceOthers));
+        }
+    }
+}
+
 // Guards against a bad version that goes on to receive requests, at each rate and kind of fault.
 BOOST_AUTO_TEST_CASE(versionThatIsBadAtOnceIsRolledBack)
 {
