Let a VM that missed the end of a roll-out use both versions

Cause: a VM that is cut off from the store when a roll-out is completed keeps its last share. The other replicas stop at the completion, so all but that share of its requests found no replica.

Change: once the deadline and the propagation delay have passed without a result, the division is overdue, and the target version takes the requests that no other replica can take. A VM in contact knows the result by then; after a roll-back the target version still gets nothing.

Result: divisionIsOverdueWithoutAResultAfterTheDeadline and candidatesAreDividedByVersion check it; the tests of libs/rollout and gateway_test_rollouts pass.

--- a/libs/gateway/src/rollouts.cpp
+++ b/libs/gateway/src/rollouts.cpp
@@ -203,7 +203,9 @@
     const bool toTarget = !isRepeat && uniformOf(requestId, service) < division.share;
     if (toTarget)
         return { std::move(target), std::move(others), true };
-    return { std::move(others), {}, false };
+    if (!division.isOverdue)
+        target.clear();
+    return { std::move(others), std::move(target), false };
 }
 
 void Rollouts::record(const upstreams::Upstream& upstream, std::string_view route, bool failed,
--- a/libs/gateway/tests/test_rollouts.cpp
+++ b/libs/gateway/tests/test_rollouts.cpp
@@ -222,7 +222,7 @@
 BOOST_AUTO_TEST_CASE(candidatesAreDividedByVersion)
 {
     const auto replicas = replicasOf({ "v1", "v2", "v3", "v2" });
-    rollout::Division division { "v2", 0.05, { "v3" }, false };
+    rollout::Division division { "v2", 0.05, { "v3" }, false, false };
     int toTarget = 0;
     for (int i = 0; i < 10000; ++i) {
         const auto id = "id" + std::to_string(i);
@@ -236,9 +236,15 @@
     }
     BOOST_TEST(toTarget > 400);
     BOOST_TEST(toTarget < 600);
+    // A VM that does not learn of the completion must not be left with replicas that have stopped.
+    division.isOverdue = true;
+    const auto overdue = Rollouts::candidates(division, ledger, replicas, "x", true);
+    BOOST_TEST((overdue.preferred == std::vector { replicas[0] }));
+    BOOST_TEST(overdue.fallback.size() == 2U);
+    division.isOverdue = false;
     division.share = 1;
     BOOST_TEST(Rollouts::candidates(division, ledger, replicas, "x", true).preferred.size() == 2U);
-    division = { "v2", 0, {}, true };
+    division = { "v2", 0, {}, true, false };
     BOOST_TEST(Rollouts::candidates(division, ledger, replicasOf({ "v2" }), "x", false).preferred.empty());
     division.isRolledBack = false;
     BOOST_TEST(
--- a/libs/rollout/include/rollout/rollout_driver.h
+++ b/libs/rollout/include/rollout/rollout_driver.h
@@ -27,6 +27,9 @@
     std::vector<std::string> excluded;
     /** The target version receives nothing even if there is no other one. */
     bool isRolledBack = false;
+    /** The deadline has passed and this VM, probably cut off from the store, does not know the result. A
+     * completed roll-out has stopped the other replicas, so the target version takes what they cannot. */
+    bool isOverdue = false;
 
     bool operator==(const Division&) const = default;
 };
--- a/libs/rollout/src/rollout_driver.cpp
+++ b/libs/rollout/src/rollout_driver.cpp
@@ -191,13 +191,14 @@
         // The order was withdrawn; what it had not completed stays rolled back.
         if (!isStatusCurrent() || status_->state == State::Completed)
             return std::nullopt;
-        return Division { status_->target, 0, excludedVersions(), true };
+        return Division { status_->target, 0, excludedVersions(), true, false };
     }
-    Division division { order_->target, 0, excludedVersions(), !reason_.empty() };
+    Division division { order_->target, 0, excludedVersions(), !reason_.empty(), false };
     if (const auto state = finalState()) {
         division.isRolledBack = *state == State::RolledBack;
         division.share = division.isRolledBack ? 0 : 1;
     } else if (isStepCurrent() && reason_.empty()) {
+        division.isOverdue = elapsed(now) > order_->duration + limits_.propagation;
         // A VM that does not learn of the end of a pulse ends it by itself.
         const bool isPulseOver = step_->phase == Phase::Pulse
             && now - pulseSeenAt_ > schedule().pulseLength(step_->share) + pulseGrace;
--- a/libs/rollout/tests/test_rollout_driver.cpp
+++ b/libs/rollout/tests/test_rollout_driver.cpp
@@ -231,6 +231,22 @@
     BOOST_CHECK_EQUAL(driver.division(start + seconds(4))->share, 0.05);
 }
 
+// Guards against a VM that is cut off when the roll-out is completed and goes on to use only replicas that
+// stop then.
+BOOST_AUTO_TEST_CASE(divisionIsOverdueWithoutAResultAfterTheDeadline)
+{
+    const RolloutLimits limits;
+    RolloutDriver driver { limits };
+    const auto start = ScriptedFleet::at({});
+    driver.setOrder(Order { "v2", duration, 5 }, start);
+    driver.setStep(Step { 0.05, Phase::Canary, seconds(10), "v2", 5, {}, 6 }, start + seconds(10));
+    BOOST_CHECK(!driver.division(start + duration)->isOverdue);
+    const auto late = start + duration + limits.propagation + seconds(1);
+    BOOST_CHECK(driver.division(late)->isOverdue);
+    driver.setStatus(Status { State::RolledBack, "v2", 7 }, late);
+    BOOST_CHECK(!driver.division(late)->isOverdue);
+}
+
 // Guards against schedules whose exposure exceeds the bound, for short and long orders and few replicas.
 BOOST_AUTO_TEST_CASE(scheduleKeepsExposureSmallUntilTheFinalSteps)
 {
