Keep the claims of submits when the store returns an older state

Change: Claims compares the revision of each answer with the one known before the call. Lease renewals and listings of the control plane tell Claims the revision, so an idle daemon notices the restore as well. Outcomes whose claim was lost or written back under another revision are recorded instead of dropped.

--- a/libs/claims/include/claims/claims.h
+++ b/libs/claims/include/claims/claims.h
@@ -90,6 +90,11 @@
  * released in the background. If the holder of a claim dies, the claim stays pending and later requests with
  * its key are answered Unknown, since running the request again could run it twice.
  *
+ * A store that is restored from an older copy loses claims that it had confirmed. The restore is noticed when
+ * an answer has a lower revision than was known before its call. From then on, keys are refused for
+ * Hooks::restoreGrace, in which every daemon writes back the claims that it held in the last minute. A
+ * restore that loses fewer revisions than were written since this daemon's last answer is not noticed.
+ *
  * Used only on the control thread, like the store; callbacks run there. The store and whatever the hooks
  * refer to must outlive it.
  */
@@ -100,6 +105,13 @@
         /** Runs a function after a delay, on the control thread. */
         std::function<void(Duration, std::function<void()>)> after;
         std::function<std::uint64_t()> random;
+        /**
+         * How long keys are refused after the store returned to an older state. Must exceed the longest time
+         * between two calls of revisionSeen(), so that the other daemons have noticed it too.
+         */
+        Duration restoreGrace = std::chrono::seconds(6);
+        /** Called when the store was found to have returned to an older state; may be empty. */
+        std::function<void()> onRestored {};
     };
 
     Claims(store::Store& store, std::string keyPrefix, Hooks hooks);
@@ -120,6 +132,12 @@
      */
     void finish(const HeldClaim& held, Outcome outcome, std::string result, std::function<void()> onRecorded);
 
+    /**
+     * Tells the revision that an answer to a call of another client of the store gave. A lower one than is
+     * known makes this object check the store.
+     */
+    void revisionSeen(store::Revision revision);
+
     /** Number of outcomes that the store has not confirmed; a planned stop waits until it is zero. */
     std::size_t unrecorded() const;
 
--- a/libs/claims/src/claims.cpp
+++ b/libs/claims/src/claims.cpp
@@ -1,6 +1,8 @@
 #include "claims/claims.h"
 
 #include <algorithm>
+#include <deque>
+#include <unordered_map>
 
 namespace banyancroft::claims {
 
@@ -14,6 +16,11 @@
 // About an hour of retries at the longest delay. An outcome that is never recorded leaves the claim pending,
 // which is safe: later requests with its key are answered Unknown.
 constexpr unsigned maxRecordAttempts = 720;
+// Claims obtained within this time are written back to a store that lost them. Longer than the age of the
+// copies that a store is restored from, which is some seconds.
+constexpr Duration retentionTime = std::chrono::seconds(60);
+// Bounds the memory for retained results.
+constexpr std::size_t maxRetainedClaims = 2'000;
 
 Duration retryDelay(unsigned attempt)
 {
@@ -64,6 +71,8 @@
             ClaimState::Pending, std::move(fingerprint), {} };
         attempt->deadline = deadline;
         attempt->callback = std::move(callback);
+        if (isUncertain())
+            return answer(attempt, refused());
         write(attempt, {});
     }
 
@@ -76,9 +85,27 @@
         recording->final.state = stateAfter(outcome);
         recording->final.result = std::move(result);
         recording->onRecorded = std::move(onRecorded);
+        if (outcome == Outcome::NotRun)
+            retained_.erase(held.storeKey);
+        else
+            retain(held.storeKey, recording->final);
         record(recording);
     }
 
+    void revisionSeen(store::Revision revision)
+    {
+        if (!revision)
+            return;
+        if (revision >= newestRevision_) {
+            newestRevision_ = revision;
+            return;
+        }
+        // The answer may only have been overtaken by another one, so the store is asked again.
+        if (!std::exchange(checkingRevision_, true))
+            get(keyPrefix_,
+                [self = shared_from_this()](const auto&, const Error&) { self->checkingRevision_ = false; });
+    }
+
     std::size_t unrecorded() const { return unrecorded_; }
     void stop() { stopped_ = true; }
 
@@ -91,10 +118,97 @@
     };
     using RecordingPointer = std::shared_ptr<Recording>;
 
+    struct Retained {
+        ClaimRecord record;
+        TimePoint since;
+    };
+
+    /** What was known of the store when a call was made. */
+    struct Known {
+        store::Revision revision;
+        std::uint64_t restores = 0;
+    };
+
+    bool isUncertain() const { return hooks_.now() < uncertainUntil_; }
+
+    void get(std::string_view key, store::Callback<store::Listing> callback)
+    {
+        store_.get(key,
+            [self = shared_from_this(), known = known(), callback = std::move(callback)](
+                std::optional<store::Listing> listing, const Error& reason) {
+                if (listing)
+                    self->compareRevision(listing->revision, known);
+                callback(std::move(listing), reason);
+            });
+    }
+
+    void compareAndSwap(store::Swap swap, store::Callback<store::SwapResult> callback)
+    {
+        store_.compareAndSwap(std::move(swap),
+            [self = shared_from_this(), known = known(), callback = std::move(callback)](
+                std::optional<store::SwapResult> result, const Error& reason) {
+                if (result)
+                    self->compareRevision(result->revision, known);
+                callback(std::move(result), reason);
+            });
+    }
+
+    Known known() const { return { newestRevision_, restores_ }; }
+
+    // Reads and swaps are linearizable: an answer below a revision that was known before the call shows that
+    // the store has returned to an older state.
+    void compareRevision(store::Revision revision, const Known& known)
+    {
+        if (!revision || known.restores != restores_ || stopped_)
+            return;
+        if (revision >= known.revision) {
+            newestRevision_ = std::max(newestRevision_, revision);
+            return;
+        }
+        ++restores_;
+        newestRevision_ = revision;
+        uncertainUntil_ = hooks_.now() + hooks_.restoreGrace;
+        if (hooks_.onRestored)
+            hooks_.onRestored();
+        dropOldRetained();
+        for (const auto& [storeKey, retained] : retained_)
+            writeBack(storeKey, retained.record);
+    }
+
+    void writeBack(const std::string& storeKey, const ClaimRecord& claimRecord)
+    {
+        ++unrecorded_;
+        auto recording = std::make_shared<Recording>();
+        recording->held = { storeKey, claimRecord, {} };
+        recording->final = claimRecord;
+        record(recording);
+    }
+
+    void retain(const std::string& storeKey, const ClaimRecord& claimRecord)
+    {
+        retained_[storeKey] = { claimRecord, hooks_.now() };
+        retainedOrder_.emplace_back(hooks_.now(), storeKey);
+        dropOldRetained();
+    }
+
+    void dropOldRetained()
+    {
+        const TimePoint oldest = hooks_.now() - retentionTime;
+        while (!retainedOrder_.empty()
+            && (retainedOrder_.size() > maxRetainedClaims || retainedOrder_.front().first < oldest)) {
+            const auto& [since, storeKey] = retainedOrder_.front();
+            // A key that was retained again is listed again further back.
+            const auto found = retained_.find(storeKey);
+            if (found != retained_.end() && found->second.since <= since)
+                retained_.erase(found);
+            retainedOrder_.pop_front();
+        }
+    }
+
     // Writes the attempt's record if the key is at the expected revision (zero: the key must not exist).
     void write(const AttemptPointer& attempt, store::Revision expected)
     {
-        store_.compareAndSwap({ attempt->storeKey, expected, toJson(attempt->record), {} },
+        compareAndSwap({ attempt->storeKey, expected, toJson(attempt->record), {} },
             [self = shared_from_this(), attempt](std::optional<store::SwapResult> result, const Error&) {
                 if (!result)
                     return self->readBack(attempt);
@@ -108,7 +222,7 @@
 
     void readBack(const AttemptPointer& attempt)
     {
-        store_.get(attempt->storeKey,
+        get(attempt->storeKey,
             [self = shared_from_this(), attempt](std::optional<store::Listing> listing, const Error&) {
                 // An absent key does not prove that the write failed; the write may reach the store later.
                 if (!listing || listing->entries.empty())
@@ -143,11 +257,16 @@
 
     void confirmHeld(const AttemptPointer& attempt, store::Revision revision)
     {
+        // Another daemon may have held this key before the restore; its record replaces this one, which is
+        // released only if that has not happened.
+        if (isUncertain())
+            return abandon(attempt);
         HeldClaim held { attempt->storeKey, attempt->record, revision };
         if (hooks_.now() >= attempt->deadline) {
             finish(held, Outcome::NotRun, {}, {});
             return answer(attempt, refused());
         }
+        retain(held.storeKey, held.record);
         answer(attempt, { ClaimAnswer::Kind::Held, Reason::None, std::move(held), {} });
     }
 
@@ -168,11 +287,13 @@
     {
         if (stopped_ || attempts >= maxRecordAttempts)
             return;
-        const Duration delay = attempts == 0 ? abandonedWriteDelay : retryDelay(attempts);
+        const Duration delay = attempts == 0
+            ? std::max<Duration>(abandonedWriteDelay, uncertainUntil_ - hooks_.now())
+            : retryDelay(attempts);
         hooks_.after(delay, [self = shared_from_this(), attempt, attempts] {
             if (self->stopped_)
                 return;
-            self->store_.get(attempt->storeKey,
+            self->get(attempt->storeKey,
                 [self, attempt, attempts](std::optional<store::Listing> listing, const Error&) {
                     if (!listing)
                         return self->releaseInBackground(attempt, attempts + 1);
@@ -191,20 +312,39 @@
     void record(const RecordingPointer& recording)
     {
         ++recording->attempts;
-        store_.compareAndSwap(
-            { recording->held.storeKey, recording->held.revision, toJson(recording->final), {} },
+        compareAndSwap({ recording->held.storeKey, recording->held.revision, toJson(recording->final), {} },
             [self = shared_from_this(), recording](
                 const std::optional<store::SwapResult>& result, const Error&) {
-                // Only the holder writes the key of a held claim. A swap that finds another revision has
-                // found the holder's own earlier write, whose reply was lost, or the claim of a later request
-                // made after it.
-                if (result || self->stopped_ || recording->attempts >= maxRecordAttempts)
+                if (self->stopped_ || recording->attempts >= maxRecordAttempts)
+                    return self->recorded(recording);
+                if (!result) {
+                    return self->hooks_.after(
+                        retryDelay(recording->attempts), [self, recording] { self->record(recording); });
+                }
+                if (result->swapped || !mustReplace(*recording, result->current))
                     return self->recorded(recording);
-                self->hooks_.after(
-                    retryDelay(recording->attempts), [self, recording] { self->record(recording); });
+                recording->held.revision = result->current ? result->current->modified : store::Revision {};
+                self->record(recording);
             });
     }
 
+    // Decides whether a swap that found another revision has to be repeated with the revision found. Without
+    // a restore of the store, only the holder writes the key of a held claim: what was found is the holder's
+    // own earlier write, whose reply was lost, or the claim of a later request made after a release.
+    static bool mustReplace(const Recording& recording, const std::optional<store::KeyValue>& found)
+    {
+        const auto state = recording.final.state;
+        if (!found)
+            return state != ClaimState::Released;
+        Error reason;
+        const auto record = parseClaimRecord(found->value, reason);
+        if (!record)
+            return false;
+        if (record->nonce == recording.final.nonce)
+            return record->state == ClaimState::Pending && state != ClaimState::Pending;
+        return state != ClaimState::Released && record->state != ClaimState::Done;
+    }
+
     void recorded(const RecordingPointer& recording)
     {
         --unrecorded_;
@@ -217,6 +357,14 @@
     Hooks hooks_;
     std::size_t unrecorded_ = 0;
     bool stopped_ = false;
+    store::Revision newestRevision_;
+    bool checkingRevision_ = false;
+    /** Number of times that the store was found to have returned to an older state. */
+    std::uint64_t restores_ = 0;
+    TimePoint uncertainUntil_ {};
+    /** Claims by store key that were held recently and not released. */
+    std::unordered_map<std::string, Retained> retained_;
+    std::deque<std::pair<TimePoint, std::string>> retainedOrder_;
 };
 
 Claims::Claims(store::Store& store, std::string keyPrefix, Hooks hooks)
@@ -238,6 +386,8 @@
     impl_->finish(held, outcome, std::move(result), std::move(onRecorded));
 }
 
+void Claims::revisionSeen(store::Revision revision) { impl_->revisionSeen(revision); }
+
 std::size_t Claims::unrecorded() const { return impl_->unrecorded(); }
 
 } // namespace banyancroft::claims
--- a/libs/claims/tests/test_claims.cpp
+++ b/libs/claims/tests/test_claims.cpp
@@ -184,3 +184,52 @@
     fixture.store().put("claims/ledger/c-17", "{\"state\":");
     BOOST_TEST((kindOf(fixture.claim(0, "c-17")) == Kind::Unknown));
 }
+
+// A store that returns to an older state loses claims that it had confirmed. A second daemon that gets the
+// key right after that must not run its request again, and must find the outcome once it is written back.
+BOOST_AUTO_TEST_CASE(claimLostByARestoredStoreIsNotGivenAgain)
+{
+    ClaimsFixture fixture(2);
+    const auto snapshot = fixture.store().snapshot();
+    const auto revision = fixture.store().revision();
+    auto held = fixture.claim(0, "c-17");
+    BOOST_TEST((kindOf(fixture.claim(1, "other")) == Kind::Held));
+    fixture.store().restore(snapshot, revision);
+    BOOST_TEST((kindOf(fixture.claim(1, "c-17")) == Kind::Refused));
+    BOOST_TEST((kindOf(fixture.claim(1, "c-17")) == Kind::Refused));
+    fixture.claims(0).finish(*held->held, Outcome::Done, "7", {});
+    fixture.advance(std::chrono::seconds(10));
+    const auto again = fixture.claim(1, "c-17");
+    BOOST_TEST((kindOf(again) == Kind::AlreadyDone));
+    BOOST_TEST(again->result == "7");
+}
+
+// A daemon that makes no calls of its own must still write its claims back, or the key would be free again
+// after the time in which keys are refused.
+BOOST_AUTO_TEST_CASE(outcomeLostByARestoredStoreIsWrittenBack)
+{
+    ClaimsFixture fixture(2);
+    const auto snapshot = fixture.store().snapshot();
+    const auto revision = fixture.store().revision();
+    auto held = fixture.claim(0, "c-17");
+    fixture.claims(0).finish(*held->held, Outcome::Done, "7", {});
+    fixture.runStore();
+    fixture.store().restore(snapshot, revision);
+    fixture.claims(0).revisionSeen(fixture.store().revision());
+    fixture.runStore();
+    BOOST_TEST((kindOf(fixture.claim(0, "other")) == Kind::Refused));
+    BOOST_TEST((kindOf(fixture.claim(1, "c-17")) == Kind::AlreadyDone));
+    fixture.advance(std::chrono::seconds(10));
+    BOOST_TEST((kindOf(fixture.claim(0, "other")) == Kind::Held));
+}
+
+// An answer that was overtaken by a newer one has a lower revision too; submits must not be refused for it.
+BOOST_AUTO_TEST_CASE(lateAnswerDoesNotCountAsARestore)
+{
+    ClaimsFixture fixture(1);
+    const auto revision = fixture.store().revision();
+    fixture.claim(0, "c-17");
+    fixture.claims(0).revisionSeen(revision);
+    fixture.runStore();
+    BOOST_TEST((kindOf(fixture.claim(0, "other")) == Kind::Held));
+}
--- a/libs/daemon/src/control_plane.cpp
+++ b/libs/daemon/src/control_plane.cpp
@@ -54,13 +54,20 @@
     return result;
 }
 
-claims::Claims::Hooks claimHooks(boost::asio::io_context& ioContext, std::mt19937_64& random)
+claims::Claims::Hooks claimHooks(
+    boost::asio::io_context& ioContext, std::mt19937_64& random, const Settings& settings)
 {
     return { [] { return BootClock::now(); },
         [&ioContext](Duration delay, std::function<void()> function) {
             runAfter(ioContext, delay, std::move(function));
         },
-        [&random] { return random(); } };
+        [&random] { return random(); },
+        // The renewal of the lease is the longest interval at which a daemon hears from the store.
+        settings.lease / 3 + storeDeadline,
+        [] {
+            log(LogLevel::Error, "claims",
+                "store returned to an older state; refusing submits while claims are written back");
+        } };
 }
 
 } // namespace
@@ -84,10 +91,11 @@
               [this](const std::string& address, wire::Message message) {
                   network_.send(address, std::move(message));
               },
-              [this] { routingChanged_ = true; }, hooks_.onHandOverDone })
+              [this] { routingChanged_ = true; }, hooks_.onHandOverDone,
+              [this](store::Revision revision) { claims_.revisionSeen(revision); } })
     , configuration_(store_, ioContext,
           [this](std::shared_ptr<const config::Document> document) { onDocument(std::move(document)); })
-    , claims_(store_, std::string(storePrefix) + "claims/", claimHooks(ioContext, random_))
+    , claims_(store_, std::string(storePrefix) + "claims/", claimHooks(ioContext, random_, settings))
     , tickTimer_(ioContext)
     , heartbeatTimer_(ioContext)
     , vmTimer_(ioContext)
@@ -245,6 +253,7 @@
             watchedPrefixes_.erase(prefix);
             return;
         }
+        claims_.revisionSeen(listing->revision);
         onStoreValues(listing->entries);
         const auto onChange = [this, alive](std::span<const store::KeyValue> values) {
             if (*alive)
--- a/libs/daemon/src/membership_driver.cpp
+++ b/libs/daemon/src/membership_driver.cpp
@@ -148,8 +148,10 @@
             if (!*alive)
                 return;
             const TimePoint now = hooks_.now();
-            if (grant)
+            if (grant) {
+                hooks_.onRevision(grant->revision);
                 return run(membership_.leaseRenewed(action.request, now));
+            }
             if (reason.kind == ErrorKind::NotFound)
                 return run(membership_.leaseLost(action.request, now));
             run(membership_.storeFailed(action.request, now));
--- a/libs/daemon/src/membership_driver.h
+++ b/libs/daemon/src/membership_driver.h
@@ -40,6 +40,8 @@
         /** A newer view of a zone was adopted. */
         std::function<void()> onViewsChanged;
         std::function<void()> onHandOverDone;
+        /** Revision of the store at the renewal of the own lease. */
+        std::function<void(store::Revision)> onRevision;
     };
 
     MembershipDriver(store::Store& store, const membership::Settings& settings, Hooks hooks);
--- a/libs/store/include/store/fake_store.h
+++ b/libs/store/include/store/fake_store.h
@@ -57,6 +57,8 @@
     std::map<std::string, KeyValue> snapshot() const { return values_; }
     /** Replaces all keys by a snapshot, keeps the current revision, and ends watches. */
     void restore(std::map<std::string, KeyValue> values);
+    /** Replaces all keys by a snapshot, returns to its revision, and ends watches. */
+    void restore(std::map<std::string, KeyValue> values, Revision revision);
 
 private:
     struct Lease {
--- a/libs/store/include/store/store.h
+++ b/libs/store/include/store/store.h
@@ -39,7 +39,7 @@
 struct SwapResult {
     /** False: the key was not at the expected revision and nothing was written. */
     bool swapped = false;
-    /** Store revision after a swap. */
+    /** Revision of the store after the call; zero after a failed swap if the store does not tell it. */
     Revision revision;
     /** The key as it was found when the swap failed; empty when it did not exist. */
     std::optional<KeyValue> current;
@@ -60,6 +60,8 @@
     Duration timeToLive {};
     /** Era of the store in which the lease was granted; a later era may give its number to another client. */
     StoreEra era {};
+    /** Revision of the store, which may be older than that of earlier answers; zero if unknown. */
+    Revision revision {};
 };
 
 /** Receives either a result or an empty optional and the reason of the failure. */
--- a/libs/store/src/etcd_messages.cpp
+++ b/libs/store/src/etcd_messages.cpp
@@ -117,7 +117,10 @@
 
 LeaseGrant leaseGrant(const Json& json)
 {
-    return { { integer(json, "ID") }, std::chrono::seconds(integer(json, "TTL")) };
+    LeaseGrant grant { { integer(json, "ID") }, std::chrono::seconds(integer(json, "TTL")) };
+    if (json.contains("header"))
+        grant.revision = headerRevision(json);
+    return grant;
 }
 
 /** Runs a parser and converts an exception into the reason. */
@@ -197,12 +200,10 @@
 {
     return parse(body, reason, [](const Json& json) {
         SwapResult result;
-        const auto revision = headerRevision(json);
+        result.revision = headerRevision(json);
         result.swapped = flag(json, "succeeded");
-        if (result.swapped) {
-            result.revision = revision;
+        if (result.swapped)
             return result;
-        }
         const auto& responses = array(json, "responses");
         if (responses.size() != 1)
             throw Malformed("the failure branch of the transaction has no single response");
--- a/libs/store/src/fake_store.cpp
+++ b/libs/store/src/fake_store.cpp
@@ -67,6 +67,7 @@
         [this, swap = std::move(swap)](TimePoint, Error& reason) -> std::optional<SwapResult> {
             SwapResult result;
             result.current = find(swap.key);
+            result.revision = revision();
             if ((result.current ? result.current->modified : Revision {}) != swap.expected)
                 return result;
             if (swap.lease && !leases_.contains(swap.lease.value)) {
@@ -98,7 +99,7 @@
                 return std::nullopt;
             }
             found->second.expires = now + found->second.timeToLive;
-            return LeaseGrant { lease, found->second.timeToLive };
+            return LeaseGrant { lease, found->second.timeToLive, {}, revision() };
         });
 }
 
@@ -177,6 +178,12 @@
     breakWatches();
 }
 
+void FakeStore::restore(std::map<std::string, KeyValue> values, Revision revision)
+{
+    restore(std::move(values));
+    revision_ = revision.value;
+}
+
 void FakeStore::write(const std::string& key, std::optional<std::string> value, LeaseId lease)
 {
     KeyValue change { key, {}, {}, {} };
