Keep quotations of a document out of parse errors

Cause: the message of nlohmann's parser quotes the token that it last read. For a configuration that breaks off inside a key, the logged error held the first bytes of that key (8 in the case tried). Change: json::parseJson gives position and kind of the error without the quotation.

--- a/libs/json/src/bounded_parser.cpp
+++ b/libs/json/src/bounded_parser.cpp
@@ -13,6 +13,15 @@
 
 using Json = nlohmann::json;
 
+/** The library's text without the token that it quotes, which may be a secret or as long as the document. */
+std::string withoutQuotation(std::string_view text)
+{
+    constexpr std::size_t maxTextBytes = 160;
+    for (const std::string_view quotation : { "; last read: ", " parsing '" })
+        text = text.substr(0, text.find(quotation));
+    return std::string(text.substr(0, maxTextBytes));
+}
+
 /** Builds a document from the events of nlohmann's parser; throws at a limit, which ends the parser. */
 class DocumentBuilder final : public nlohmann::json_sax<Json> {
 public:
@@ -40,10 +49,7 @@
 
     bool parse_error(std::size_t position, const std::string&, const Json::exception& error) override
     {
-        // The library's text quotes the last token, which may be as long as the document.
-        constexpr std::size_t maxTextBytes = 160;
-        failure_ = "position " + std::to_string(position) + ": "
-            + std::string(error.what()).substr(0, maxTextBytes);
+        failure_ = "position " + std::to_string(position) + ": " + withoutQuotation(error.what());
         return false;
     }
 
--- a/libs/json/tests/test_bounded_parser.cpp
+++ b/libs/json/tests/test_bounded_parser.cpp
@@ -86,3 +86,16 @@
     BOOST_CHECK_THROW(json::parseMessagePack(""), std::invalid_argument);
     BOOST_CHECK_THROW(json::parseMessagePack("\xc0\xc0"), std::invalid_argument);
 }
+
+// Messages become log lines, and documents hold keys of customers. Guards against a message that quotes a
+// part of the text.
+BOOST_AUTO_TEST_CASE(messagesDoNotQuoteTheText)
+{
+    for (const std::string text : { "[\"secret", "[\"secret\xff\"]", "[secret]", "[\"a\" \"secret\"]",
+             "{\"secret", "[\"secret\n\"]", "[123456e999]" }) {
+        const auto failure = failureOf(text);
+        BOOST_TEST(failure.find("position") != std::string::npos, failure);
+        for (const std::string quotation : { "last read", "secret", "1234" })
+            BOOST_TEST(failure.find(quotation) == std::string::npos, failure);
+    }
+}
