--- a/libs/gateway/src/gather_response.cpp
+++ b/libs/gateway/src/gather_response.cpp
@@ -3,7 +3,6 @@
 #include "dispatch/record_merge.h"
 
 #include <algorithm>
-#include <cmath>
 #include <vector>
 
 namespace banyancroft::gateway {
@@ -35,13 +34,4 @@
     return response;
 }
 
-std::size_t requiredShards(std::size_t shards, double minCoverage)
-{
-    // Prevents a rounding error in the product from requiring one shard too many.
-    constexpr double tolerance = 1e-9;
-    const double minShards = std::ceil(static_cast<double>(shards) * minCoverage - tolerance);
-    return std::clamp<std::size_t>(
-        minShards <= 1 ? 1 : static_cast<std::size_t>(minShards), 1, std::max<std::size_t>(shards, 1));
-}
-
 } // namespace banyancroft::gateway
--- a/libs/gateway/src/gather_response.h
+++ b/libs/gateway/src/gather_response.h
@@ -2,6 +2,7 @@
 
 #include "gateway/dialect.h"
 #include "http/message_writer.h"
+#include "routing/route_table.h"
 
 #include <span>
 #include <string>
@@ -23,10 +24,6 @@
 http::Response mergeShardResults(
     std::span<const ShardResult> results, std::size_t topRecords, const HeaderNames& names);
 
-/**
- * Returns the number of shards that a response must contain; at least 1.
- * @param minCoverage required fraction of `shards`, 0 to 1
- */
-std::size_t requiredShards(std::size_t shards, double minCoverage);
+using routing::requiredShards;
 
 } // namespace banyancroft::gateway
--- a/libs/routing/include/routing/route_table.h
+++ b/libs/routing/include/routing/route_table.h
@@ -48,4 +48,10 @@
  */
 const ServiceId* pickService(const Route& route, double randomValue);
 
+/**
+ * Returns the number of shards that a response must contain; at least 1.
+ * @param minCoverage required fraction of `shards`, 0 to 1
+ */
+std::size_t requiredShards(std::size_t shards, double minCoverage);
+
 } // namespace banyancroft::routing
--- a/libs/routing/src/route_table.cpp
+++ b/libs/routing/src/route_table.cpp
@@ -3,6 +3,7 @@
 #include "base/string_map.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace banyancroft::routing {
 
@@ -115,4 +116,13 @@
     return last;
 }
 
+std::size_t requiredShards(std::size_t shards, double minCoverage)
+{
+    // Prevents a rounding error in the product from requiring one shard too many.
+    constexpr double tolerance = 1e-9;
+    const double minShards = std::ceil(static_cast<double>(shards) * minCoverage - tolerance);
+    const auto maxShards = static_cast<double>(std::max<std::size_t>(shards, 1));
+    return static_cast<std::size_t>(std::clamp(minShards, 1.0, maxShards));
+}
+
 } // namespace banyancroft::routing
