Add banyancroftctl check

Cause: operators had no means to check a configuration of the gateway before they publish it. Change: check FILE decodes a document with the code of the gateway (platform/operator_files.h), prints findings as text or JSON, and compares it with the configuration in force and the registered replicas. Exit codes: 0 no error, 1 errors found, 2 usage or unreadable file.

--- a/banyancroftctl/main.cpp
+++ b/banyancroftctl/main.cpp
@@ -1,3 +1,4 @@
+#include "ctl/check.h"
 #include "ctl/run.h"
 
 #include <absl/flags/flag.h>
@@ -47,6 +48,8 @@
     banyancroftctl 'STATEMENT'             sends a statement; see docs/query-language.md
     banyancroftctl config check FILE       validates a configuration document without sending it
     banyancroftctl config put FILE [if version N] [force]
+    banyancroftctl check FILE [--in-force FILE] [--replicas FILE] [--format text|json]
+                                           checks a configuration of the gateway before it is published
 
 Exit codes: 0 done, 1 refused or failed, 2 invalid usage, 3 outcome unknown, 4 conflict.)";
 
@@ -77,6 +80,11 @@
     return true;
 }
 
+bool asksForHelp(int argc, char** argv)
+{
+    return std::find(argv, argv + argc, std::string_view("--help")) != argv + argc;
+}
+
 int usageError(const Error& reason)
 {
     std::cerr << "banyancroftctl: " << reason.message << "; " << reason.remedy << "\n";
@@ -94,6 +102,9 @@
     usage.contains_help_flags = usage.contains_helpshort_flags;
     absl::SetFlagsUsageConfig(usage);
     absl::SetProgramUsageMessage(usageText);
+    // Has flags of its own, which Abseil would reject.
+    if (argc > 1 && std::string_view(argv[1]) == "check" && !asksForHelp(argc, argv))
+        return ctl::check(std::vector<std::string>(argv + 2, argv + argc), std::cin, std::cout, std::cerr);
     Error reason;
     if (!checkFlagNames(argc, argv, reason))
         return usageError(reason);
--- a/banyancroftctl/src/run.cpp
+++ b/banyancroftctl/src/run.cpp
@@ -142,6 +142,11 @@
                 "give one, such as banyancroftctl 'status'; see --help" },
             ExitUsage);
     }
+    if (arguments[0] == "check") {
+        return reportError(err,
+            { ErrorKind::InvalidInput, "flags before check", "give check first, and its flags after it" },
+            ExitUsage);
+    }
     if (arguments[0] == "config")
         return runConfigCommand(settings, arguments.subspan(1), out, err);
     std::string statement;
--- a/libs/routing/tests/test_configuration_check.cpp
+++ b/libs/routing/tests/test_configuration_check.cpp
@@ -103,7 +103,8 @@
     expectOne(changed([](auto& c) { c.customers[1].keys = { "secret\x1b" }; }), { "key 1 can never match" });
 }
 
-// Guards against limits with which callers are refused, or get incomplete answers, without anybody having meant it.
+// Guards against limits with which callers are refused, or get incomplete answers, without anybody having
+// meant it.
 BOOST_AUTO_TEST_CASE(contradictoryLimitsAreFound)
 {
     expectOne(changed([](auto& c) { c.routes[0].timeout = 50ms; }), { "timeout: 50 ms is below", "100 ms" });
