Keep id and limit instead of a copy of the customer in a credit question

Cause: each question to the owner of a customer's credit copied the customer with all its API keys, three times: into the decision, the handler of the answer and the handler of the timer. Change: the question holds the customer's id and rate limit; CreditGate::takeShare() takes these. Measured: gateway_test_customer_limits, gateway_test_store_era and gateway_test_store_sync pass. The saving was not measured.

--- a/libs/gateway/src/credit_gate.cpp
+++ b/libs/gateway/src/credit_gate.cpp
@@ -96,7 +96,7 @@
         updateLinks(now);
     const auto holder = reachableHolder(customer.id, now);
     if (!holder)
-        return handler(takeShare(customer, now));
+        return handler(takeShare(customer.id, limitOf(customer), now));
     if (*holder != traffic_.settings().vm) {
         const auto link = links_.find(*holder);
         if (!standing_.tryTake(
@@ -109,7 +109,8 @@
         return handler({ CreditAnswer::Granted, {} });
     }
     const auto result = takeHeld(customer, traffic_.settings().vm, isLate, now);
-    handler(result.answer == CreditAnswer::NotOwner ? takeShare(customer, now) : result);
+    handler(
+        result.answer == CreditAnswer::NotOwner ? takeShare(customer.id, limitOf(customer), now) : result);
 }
 
 bool CreditGate::isReachable(const VmId& vm, TimePoint now) const
@@ -131,12 +132,14 @@
 {
     traffic_.metrics().creditQuestions.add();
     const auto question = std::make_shared<Question>(traffic_.ioContext(), std::move(handler));
-    const auto decide = [this, question, customer](const CreditResult& result) {
-        question->timer.cancel();
-        const auto decided = std::exchange(question->handler, nullptr);
-        if (decided)
-            decided(result.answer == CreditAnswer::NotOwner ? takeShare(customer, BootClock::now()) : result);
-    };
+    const auto decide
+        = [this, question, id = customer.id, limit = limitOf(customer)](const CreditResult& result) {
+              question->timer.cancel();
+              const auto decided = std::exchange(question->handler, nullptr);
+              if (decided)
+                  decided(result.answer == CreditAnswer::NotOwner ? takeShare(id, limit, BootClock::now())
+                                                                  : result);
+          };
     question->number = owner->askCredit({ 0, customer.id, traffic_.settings().vm, isLate },
         [decide](const std::optional<handover::CreditReply>& reply) {
             decide(reply ? toResult(*reply) : CreditResult {});
@@ -168,13 +171,12 @@
     return !leftAt_ || now - *leftAt_ < viewSkew_;
 }
 
-CreditResult CreditGate::takeShare(const routing::Customer& customer, TimePoint now)
+CreditResult CreditGate::takeShare(const CustomerId& customer, const quota::RateLimit& limit, TimePoint now)
 {
     if (isIsolated(now))
         return {};
     traffic_.metrics().creditFallbacks.add();
-    return fallback_.take(
-        customer.id, limitOf(customer), traffic_.dispatchers(), traffic_.settings().vm, now);
+    return fallback_.take(customer, limit, traffic_.dispatchers(), traffic_.settings().vm, now);
 }
 
 void CreditGate::giveBack(const CustomerId& customer)
--- a/libs/gateway/src/credit_gate.h
+++ b/libs/gateway/src/credit_gate.h
@@ -55,7 +55,7 @@
     void ask(const std::shared_ptr<DispatcherLink>& owner, const routing::Customer& customer, bool isLate,
         Handler handler);
     /** Takes credit from this VM's own share. */
-    quota::CreditResult takeShare(const routing::Customer& customer, TimePoint now);
+    quota::CreditResult takeShare(const CustomerId& customer, const quota::RateLimit& limit, TimePoint now);
     /** Takes credit that this VM holds, as the owner or as a stand-in. */
     quota::CreditResult takeHeld(
         const routing::Customer& customer, const VmId& asker, bool isLate, TimePoint now);
