Read files for check in blocks

Cause: each file took a buffer of 16 MiB, the largest size allowed, whatever its own size. Change: files are read in blocks of 64 KiB up to the limit.

--- a/banyancroftctl/src/check.cpp
+++ b/banyancroftctl/src/check.cpp
@@ -10,6 +10,7 @@
 #include <exception>
 #include <fstream>
 #include <istream>
+#include <iterator>
 #include <optional>
 #include <ostream>
 #include <string_view>
@@ -103,15 +104,17 @@
     if (path != "-")
         file.open(path, std::ios::binary);
     std::istream& source = path == "-" ? in : file;
-    // Reads one byte more than allowed, so that an oversized file is detected without reading all of it.
-    std::string text(maxFileBytes + 1, '\0');
-    source.read(text.data(), static_cast<std::streamsize>(text.size()));
+    std::string text;
+    std::vector<char> block(std::size_t { 64 } * 1024);
+    while (source.good() && text.size() <= maxFileBytes) {
+        source.read(block.data(), static_cast<std::streamsize>(block.size()));
+        text.append(block.data(), static_cast<std::size_t>(source.gcount()));
+    }
     if (source.bad() || (path != "-" && !file.is_open())) {
         reason = { ErrorKind::NotFound, "file \"" + path + "\" cannot be read",
             "give the path of a readable file" };
         return std::nullopt;
     }
-    text.resize(static_cast<std::size_t>(source.gcount()));
     if (text.size() > maxFileBytes) {
         reason = { ErrorKind::InvalidInput, "file \"" + path + "\" is larger than 16 MiB",
             "give a smaller file" };
