Count heads of pending requests in the memory account

Cause: the heads of requests that await their response were not counted. Many callers with heads of the legal size and a replica that does not answer took more memory than the VM has; a field of four bytes takes twelve more for its position, in the connection and again in the request.

Change: the connection and the request each count the head. A head that takes more than 4 KiB of memory and does not fit into the account is refused with 503 and Retry-After, without use of the reserve for small holders, which responses need; smaller heads are always admitted. Heads are reserved together with an announced body, so a body that was read is not refused for its head. Long field lists are freed with their message, so that idle connections do not keep them.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -84,12 +84,15 @@
     if (reader_.isHeaderDone()) {
         const auto length = reader_.request().fields.find("content-length");
         const auto bodyBytes = length ? http::parseNumber(*length) : std::nullopt;
+        // The head is copied when the request is served.
+        const auto headBytes = 2 * reader_.request().memoryBytes();
         if (bodyBytes) {
             needed = readBuffer_.size() + std::min<std::size_t>(*bodyBytes, maxBodyBytes_);
         } else if (needed > MemoryHolder::smallBytes - chunk_.size()) {
             // A body in chunks may grow up to the limit; a small one is likely to end before.
             needed = readBuffer_.size() + maxBodyBytes_;
         }
+        needed += headBytes;
     }
     if (needed <= memory_.held())
         return true;
@@ -98,13 +101,16 @@
         return false;
     memory_.hold(needed);
     if (reader_.isHeaderDone())
-        reader_.body().reserve(needed - readBuffer_.size());
+        reader_.body().reserve(needed - readBuffer_.size() - 2 * reader_.request().memoryBytes());
     return true;
 }
 
 void CallerConnection::updateMemory()
 {
-    memory_.hold(readBuffer_.size() + writeBuffer_.size() + (awaitingResponse_ ? reader_.body().size() : 0));
+    auto held = readBuffer_.size() + writeBuffer_.size();
+    if (awaitingResponse_)
+        held += reader_.request().memoryBytes() + reader_.body().size();
+    memory_.hold(held);
 }
 
 void CallerConnection::resume(TimePoint now)
--- a/libs/gateway/src/handover_runner.cpp
+++ b/libs/gateway/src/handover_runner.cpp
@@ -62,7 +62,10 @@
 
 void HandoverRunner::start(TimePoint now)
 {
-    memory_.hold(body_.size());
+    const bool hasMemory = memory_.tryHoldRequest(head_.memoryBytes(), now);
+    memory_.hold(head_.memoryBytes() + body_.size());
+    if (!hasMemory)
+        return finish(context_.traffic.refuseForMemory(), "refused, memory is short", now);
     onDisconnect_([weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->handleDisconnect(BootClock::now());
@@ -203,6 +206,8 @@
     context_.traffic.requestLog().logStep(now, "no dispatcher took the request, sending it from this VM",
         { { "id", routed_.requestId }, { "offers", std::to_string(plan_.offers()) },
             { "elapsed_ms", formatMillis(now - arrivedAt_) } });
+    // The runner asks for the memory of its own copy.
+    memory_.hold(0);
     RequestRunner::run(context_.traffic,
         { respond_, onDisconnect_, head_, body_, arrivedAt_, openedConnection_, Duration::zero() }, now);
 }
--- a/libs/gateway/src/memory_account.cpp
+++ b/libs/gateway/src/memory_account.cpp
@@ -79,12 +79,22 @@
 
 bool MemoryHolder::tryHold(std::size_t bytes, TimePoint now)
 {
-    if (account_ && bytes > held_) {
-        const auto& limits = account_->limits_;
-        const auto limit = limits.bytes + (bytes <= smallBytes ? limits.smallReserve : 0);
-        if (!account_->makeRoom(bytes - held_, limit, *this, now))
-            return false;
-    }
+    const auto limits = account_ ? account_->limits_ : MemoryAccount::Limits {};
+    return tryHoldWithin(limits.bytes + (bytes <= smallBytes ? limits.smallReserve : 0), bytes, now);
+}
+
+bool MemoryHolder::tryHoldRequest(std::size_t bytes, TimePoint now)
+{
+    if (account_ && bytes > ordinaryRequestBytes)
+        return tryHoldWithin(account_->limits_.bytes, bytes, now);
+    hold(bytes);
+    return true;
+}
+
+bool MemoryHolder::tryHoldWithin(std::size_t limit, std::size_t bytes, TimePoint now)
+{
+    if (account_ && bytes > held_ && !account_->makeRoom(bytes - held_, limit, *this, now))
+        return false;
     hold(bytes);
     return true;
 }
--- a/libs/gateway/src/memory_account.h
+++ b/libs/gateway/src/memory_account.h
@@ -91,6 +91,11 @@
      * @return false if there is no room; the holder keeps what it has
      */
     bool tryHold(std::size_t bytes, TimePoint now);
+    /**
+     * Asks to hold `bytes` in total for a request until its response. A request of an ordinary size is always
+     * admitted; the number of connections limits these. Others may not use the reserve, which responses need.
+     */
+    bool tryHoldRequest(std::size_t bytes, TimePoint now);
     /** Counts memory that is in use already, also beyond the limit. */
     void hold(std::size_t bytes);
     std::size_t held() const { return held_; }
@@ -106,10 +111,13 @@
 
     /** A holder of at most this many bytes may use the reserve for small ones. */
     static constexpr std::size_t smallBytes = 16 * 1024;
+    /** A request whose head holds at most this much memory is of an ordinary size. */
+    static constexpr std::size_t ordinaryRequestBytes = 4 * 1024;
 
 private:
     friend class MemoryAccount;
 
+    bool tryHoldWithin(std::size_t limit, std::size_t bytes, TimePoint now);
     /** Rate of the peer in the last complete window; empty before the end of the first one. */
     std::optional<double> rate(TimePoint now) const;
 
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -105,8 +105,12 @@
 
 void RequestRunner::start(TimePoint now)
 {
-    memory_.hold(body_->size());
+    // The caller's connection has reserved the body already, which is about to move to this object.
+    const bool hasMemory = memory_.tryHoldRequest(head_.memoryBytes(), now);
+    memory_.hold(head_.memoryBytes() + body_->size());
     history_.longestDeadline = std::max(history_.longestDeadline, deadline_);
+    if (!hasMemory)
+        return finish(traffic_.refuseForMemory(), "refused, memory is short", now);
     if (traffic_.isConfigurationOutdated())
         return finish(unavailableResponse(traffic_.dialect().headers, configurationRetryAfter),
             "newer configuration is in force", now);
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -1,6 +1,7 @@
 #include "traffic_manager.h"
 
 #include "gather_response.h"
+#include "local_responses.h"
 #include "telemetry/log.h"
 #include "upstream_response.h"
 #include "upstreams/cold_share.h"
@@ -35,6 +36,11 @@
     return maxSockets / 2 - std::min(reserve, maxSockets / 8);
 }
 
+/** Retry-After for requests that are refused because memory is short. */
+constexpr Duration memoryRetryAfter = std::chrono::milliseconds(200);
+/** It exceeds that by a random fraction, at most this, so that callers do not return all at once. */
+constexpr double memoryRetrySpread = 1.0;
+
 /** A tick that is later than this shows that the process was stalled. */
 constexpr Duration maxTickDelay = std::chrono::milliseconds(350);
 /** After a stall, other VMs may have taken over this VM's share of the cold rates: time to learn of it. */
@@ -117,6 +123,8 @@
           "banyancroft_memory_waits_total", "Bodies and responses that had to wait for memory"))
     , memoryEnded(
           metrics.counter("banyancroft_memory_ended_total", "Slow connections ended to make room for others"))
+    , memoryRefused(
+          metrics.counter("banyancroft_memory_refused_total", "Requests refused because memory was short"))
     , slowCallers(metrics.counter("banyancroft_gateway_slow_callers_total",
           "Connections closed because the caller took its response too slowly"))
     , answerSeconds(metrics.latency("banyancroft_gateway_answer_seconds", "First byte read to answer"))
@@ -161,6 +169,13 @@
         { { "use", std::string(what) }, { "held_bytes", std::to_string(memory_.total()) } });
 }
 
+http::Response TrafficManager::refuseForMemory()
+{
+    metrics_.memoryRefused.add();
+    const auto wait = scaled(memoryRetryAfter, 1 + memoryRetrySpread * uniformRandom());
+    return unavailableResponse(dialect_.headers, wait);
+}
+
 void TrafficManager::recordSlowCaller()
 {
     metrics_.slowCallers.add();
--- a/libs/gateway/src/traffic_manager.h
+++ b/libs/gateway/src/traffic_manager.h
@@ -4,6 +4,7 @@
 #include "dispatch/retry_budget.h"
 #include "gateway/dialect.h"
 #include "gateway/settings.h"
+#include "http/message_writer.h"
 #include "memory_account.h"
 #include "reach_tracker.h"
 #include "request_log.h"
@@ -67,6 +68,7 @@
     telemetry::Counter& sentDirectly;
     telemetry::Counter& memoryWaits;
     telemetry::Counter& memoryEnded;
+    telemetry::Counter& memoryRefused;
     telemetry::Counter& slowCallers;
     telemetry::LatencyHistogram& answerSeconds;
     telemetry::LatencyHistogram& upstreamSeconds;
@@ -108,6 +110,8 @@
     void recordMemoryWait(std::string_view what);
     /** Records that a connection was closed because its caller took its response too slowly. */
     void recordSlowCaller();
+    /** Counts a request that is refused because memory is short. @return its response, with 503 */
+    http::Response refuseForMemory();
     boost::asio::io_context& ioContext() { return ioContext_; }
 
     UpstreamPool& pool(const upstreams::UpstreamPointer& upstream);
--- a/libs/gateway/tests/test_memory_account.cpp
+++ b/libs/gateway/tests/test_memory_account.cpp
@@ -103,3 +103,21 @@
     BOOST_TEST(!Peer(account, 256 * kibibyte, start + 10s).accepted);
     BOOST_TEST(!peer.ended);
 }
+
+// Guards against requests with large heads that use up the room of responses, and against refusals of
+// ordinary requests because memory is short.
+BOOST_AUTO_TEST_CASE(requestsWithLargeHeadsMayNotUseTheReserve)
+{
+    MemoryAccount account(limits);
+    const TimePoint now { 100s };
+    const auto ignoreEnd = [] {};
+    MemoryHolder other(&account, MemoryUse::Parts, ignoreEnd);
+    other.hold(limits.bytes);
+    MemoryHolder large(&account, MemoryUse::Parts, ignoreEnd);
+    BOOST_TEST(!large.tryHoldRequest(MemoryHolder::ordinaryRequestBytes + 1, now));
+    BOOST_TEST(large.held() == 0U);
+    MemoryHolder ordinary(&account, MemoryUse::Parts, ignoreEnd);
+    BOOST_TEST(ordinary.tryHoldRequest(MemoryHolder::ordinaryRequestBytes, now));
+    other.hold(0);
+    BOOST_TEST(large.tryHoldRequest(MemoryHolder::ordinaryRequestBytes + 1, now));
+}
--- a/libs/http/include/http/head.h
+++ b/libs/http/include/http/head.h
@@ -19,10 +19,13 @@
 /** Header fields of one message in flat storage that is reused between messages. */
 class FieldList {
 public:
+    /** Removes all fields. Keeps the memory of a list of ordinary size for the next message. */
     void clear();
     void add(std::string_view name, std::string_view value);
 
     std::size_t size() const { return spans_.size(); }
+    /** Memory that the list holds, used or not. */
+    std::size_t memoryBytes() const { return text_.capacity() + spans_.capacity() * sizeof(Span); }
     Field at(std::size_t index) const;
     /** First value of the field, matched without regard to case; empty when it is missing. */
     std::optional<std::string_view> find(std::string_view name) const;
--- a/libs/http/include/http/message_reader.h
+++ b/libs/http/include/http/message_reader.h
@@ -32,6 +32,9 @@
     std::string method;
     std::string target;
     FieldList fields;
+
+    /** Memory that the head holds, used or not. */
+    std::size_t memoryBytes() const { return method.capacity() + target.capacity() + fields.memoryBytes(); }
 };
 
 /** True for an interim status that another response follows; false for 101, which no request here asks for.
--- a/libs/http/src/head.cpp
+++ b/libs/http/src/head.cpp
@@ -7,12 +7,20 @@
 
 namespace {
 
+/** The memory of a longer list is freed with its fields, so that idle connections hold little. */
+constexpr std::size_t maxKeptBytes = 8 * 1024;
+
 char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c; }
 
 } // namespace
 
 void FieldList::clear()
 {
+    if (memoryBytes() > maxKeptBytes) {
+        text_ = std::string();
+        spans_ = std::vector<Span>();
+        return;
+    }
     text_.clear();
     spans_.clear();
 }
