Limit chunk extensions and trailers of the store, of relays and of other peers

Cause: the client of the store and of relays kept a chunk extension, chunk size or trailer that does not end until the deadline of the call, so that a peer could take all memory of the VM. Many short extensions were not limited in any reader.

Change: the client keeps at most 64 KiB of bytes that cannot be parsed yet, and at most 16 KiB of chunk extensions of a response; MessageReader limits all extensions of a message to its header limit. The connection is closed, and the call fails as malformed.

--- a/libs/http/include/http/message_reader.h
+++ b/libs/http/include/http/message_reader.h
@@ -11,7 +11,7 @@
 
 /** Maximum sizes of a message that a reader accepts. */
 struct ReadLimits {
-    /** Also the limit on bytes that are part of neither header nor body, such as a chunk extension. */
+    /** Also the limit on the trailers, and on all chunk extensions of a message together. */
     std::size_t headerBytes = 16 * 1024;
     std::size_t bodyBytes = 1024 * 1024;
 };
--- a/libs/http/src/message_reader.cpp
+++ b/libs/http/src/message_reader.cpp
@@ -41,6 +41,7 @@
 public:
     Parser(Message& message, const ReadLimits& limits)
         : message_(message)
+        , maxExtensionBytes_(limits.headerBytes)
     {
         this->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         this->body_limit(limits.bodyBytes);
@@ -81,7 +82,12 @@
         return body.size();
     }
 
-    void on_chunk_header_impl(std::uint64_t, Text, error_code&) override { }
+    void on_chunk_header_impl(std::uint64_t, Text extensions, error_code& failure) override
+    {
+        extensionBytes_ += extensions.size();
+        if (extensionBytes_ > maxExtensionBytes_)
+            failure = beast::http::error::header_limit;
+    }
 
     std::size_t on_chunk_body_impl(std::uint64_t, Text body, error_code&) override
     {
@@ -92,6 +98,8 @@
     void on_finish_impl(error_code&) override { }
 
     Message& message_;
+    const std::size_t maxExtensionBytes_;
+    std::size_t extensionBytes_ = 0;
 };
 
 ReadState stateOf(const error_code& failure)
--- a/libs/store/include/store/http_client.h
+++ b/libs/store/include/store/http_client.h
@@ -38,7 +38,8 @@
  * Owned by one thread, the one that runs the io_context; handlers run on it, never inside call().
  * Each call runs its handler exactly once: with a response, or with ErrorKind::TimedOut (no response
  * within the deadline), Unavailable (connection refused or broken) or MalformedMessage (not HTTP, or too
- * long). Calls are not retried. Destruction ends open calls with ErrorKind::Unavailable.
+ * long: body, header, chunk extensions or trailers). Calls are not retried. Destruction ends open calls with
+ * ErrorKind::Unavailable.
  */
 class HttpClient {
 public:
--- a/libs/store/src/http_client.cpp
+++ b/libs/store/src/http_client.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <functional>
 #include <set>
 
 namespace banyancroft::store {
@@ -22,6 +23,14 @@
 
 namespace {
 
+/**
+ * Received bytes that are kept until they are parsed. The parser limits header and body itself, but waits for
+ * the end of a chunk size, chunk extension or trailer however long that is.
+ */
+constexpr std::size_t maxBufferBytes = 64 * 1024;
+/** Limit on the chunk extensions of a response, which no service here uses. */
+constexpr std::size_t maxExtensionBytes = 16 * 1024;
+
 /** True for parser errors, which have a category of their own; all others are connection failures. */
 bool isMalformed(const error_code& failure)
 {
@@ -209,6 +218,7 @@
     {
         parser_.emplace();
         parser_->body_limit(client_->options_.maxBodyBytes);
+        parser_->on_chunk_header(limitExtensions_);
         http::async_read(
             socket_, buffer_, *parser_, [self = shared_from_this()](error_code failure, std::size_t) {
                 if (self->done_)
@@ -306,7 +316,15 @@
     tcp::socket socket_;
     asio::steady_timer timer_;
     http::request<http::string_body> request_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_ { maxBufferBytes };
+    std::size_t extensionBytes_ = 0;
+    /** Adds up the chunk extensions; the parser keeps a reference to it. */
+    std::function<void(std::uint64_t, beast::string_view, error_code&)> limitExtensions_
+        = [this](std::uint64_t, beast::string_view extensions, error_code& failure) {
+              extensionBytes_ += extensions.size();
+              if (extensionBytes_ > maxExtensionBytes)
+                  failure = http::error::header_limit;
+          };
     std::optional<http::response_parser<http::string_body>> parser_;
     std::optional<http::response_parser<http::buffer_body>> streamParser_;
     std::array<char, 16 * 1024> chunk_ {};
