Limit the responses that are discarded before that to a request

Cause: a replica that sends interim responses, or copies of earlier ones, without end was read until the deadline of the request. Bytes beyond the announced length closed the connection without a log line.

Change: after 16 discarded responses the connection is closed as one with a response that is too long. The first surplus bytes of a replica are logged.

--- a/libs/gateway/src/upstream_connection.cpp
+++ b/libs/gateway/src/upstream_connection.cpp
@@ -18,6 +18,11 @@
 constexpr Duration idleCloseMargin = std::chrono::milliseconds(300);
 /** Limit on the body of a response. */
 constexpr std::size_t maxBodyBytes = 8 * 1024 * 1024;
+/**
+ * Interim responses and copies of earlier ones that are discarded before the response to a request. A replica
+ * sends at most a few.
+ */
+constexpr unsigned maxDiscardedResponses = 16;
 /** The memory for a response without a length is reserved in steps of this size. */
 constexpr std::size_t reservationStep = 256 * 1024;
 
@@ -99,6 +104,7 @@
     writeBuffer_ = std::move(exchange_->head);
     writeBody_ = std::move(exchange_->body);
     bytesWritten_ = 0;
+    discardedResponses_ = 0;
     resetMemory();
     write();
 }
@@ -171,8 +177,10 @@
 {
     readBuffer_.append(chunk_.data(), count);
     // No request is pending, so these bytes cannot be a response.
-    if (!exchange_)
+    if (!exchange_) {
+        sentSurplus_ = true;
         return closeWith(ExchangeOutcome::Malformed);
+    }
     while (exchange_ && !closed_ && !readBuffer_.empty()) {
         std::size_t consumed = 0;
         const auto state = reader_.read(readBuffer_, consumed);
@@ -201,6 +209,8 @@
             return complete();
         if (match == ResponseMatch::Unknown)
             return closeWith(ExchangeOutcome::Malformed);
+        if (++discardedResponses_ > maxDiscardedResponses)
+            return closeWith(ExchangeOutcome::TooLong);
         returnsRequestId_ = returnsRequestId_ || match == ResponseMatch::EarlierRequest;
         reader_.begin(exchange_->withoutBody);
         resetMemory();
@@ -212,6 +222,7 @@
 void UpstreamConnection::complete()
 {
     hasResponded_ = true;
+    sentSurplus_ = !readBuffer_.empty();
     returnsRequestId_ = reader_.response().fields.find(requestIdField_).has_value();
     const bool reusable = readBuffer_.empty() && bytesWritten_ == requestBytes()
         && reader_.response().hasFraming && reader_.keepsAlive();
--- a/libs/gateway/src/upstream_connection.h
+++ b/libs/gateway/src/upstream_connection.h
@@ -100,6 +100,8 @@
     bool isOpen() const { return open_; }
     /** True if the connection was lost after it had been established. */
     bool wasReset() const { return reset_; }
+    /** True if the connection was closed because the replica sent more than the response. */
+    bool sentSurplus() const { return sentSurplus_; }
     /** True once the replica has responded to a request on this connection. */
     bool hasResponded() const { return hasResponded_; }
     /** Reads on if there is memory for the response that had to wait. */
@@ -161,6 +163,9 @@
     /** The replica has returned a request ID on this connection, so a response without one is not to be
      * trusted. */
     bool returnsRequestId_ = false;
+    /** Responses that were discarded before the one to the current request. */
+    unsigned discardedResponses_ = 0;
+    bool sentSurplus_ = false;
     bool reset_ = false;
     bool open_ = false;
     bool closed_ = false;
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -1,9 +1,12 @@
 #include "upstream_pool.h"
 
+#include "telemetry/log.h"
+
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace banyancroft::gateway {
 
@@ -143,6 +146,10 @@
         cautiousUntil_ = std::max(cautiousUntil_, now + cautionPeriod);
         noConnectBefore_ = now + reconnectPause;
     }
+    if (connection.sentSurplus() && !std::exchange(surplusLogged_, true))
+        telemetry::log(telemetry::LogLevel::Warn, "upstream",
+            "closing connections on which a replica sends more than its response",
+            { { "upstream", upstream_->record.id.str() } });
     const auto isSame = [&connection](const auto& entry) { return entry.get() == &connection; };
     idle_.erase(std::remove_if(idle_.begin(), idle_.end(), isSame), idle_.end());
     openSockets_ -= std::erase_if(connections_, isSame);
--- a/libs/gateway/src/upstream_pool.h
+++ b/libs/gateway/src/upstream_pool.h
@@ -95,6 +95,8 @@
     /** No connection is opened before this time, because the replica has reset one. */
     TimePoint noConnectBefore_ {};
     bool retired_ = false;
+    /** The replica is logged only once as one that sends more than its responses. */
+    bool surplusLogged_ = false;
     Duration handshakeTime_;
     std::size_t connecting_ = 0;
     std::vector<std::shared_ptr<UpstreamConnection>> connections_;
--- a/libs/gateway/tests/test_hostile_peers.cpp
+++ b/libs/gateway/tests/test_hostile_peers.cpp
@@ -36,6 +36,10 @@
         { "chunk size", okHead + "Transfer-Encoding: chunked\r\n\r\n", "0000000000" },
         { "trailer", okHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
             "X-T: " + std::string(1000, 'x') + "\r\n" },
+        { "many chunk extensions", okHead + "Transfer-Encoding: chunked\r\n\r\n",
+            "1;x=" + std::string(60'000, 'x') + "\r\nx\r\n" },
+        { "interim answers", "", "HTTP/1.1 100 Continue\r\nX: " + std::string(60'000, 'x') + "\r\n\r\n" },
+        { "body larger than announced", okHead + "Content-Length: 4\r\n\r\ndata", std::string(16000, 'x') },
         { "other answers", "", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 5\r\n\r\nother" },
     };
 }
@@ -188,7 +192,11 @@
         { "chunks", head + "Transfer-Encoding: chunked\r\n\r\n",
             "400\r\n" + std::string(1024, 'x') + "\r\n" },
         { "chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n1;x=", std::string(1000, 'x') },
+        { "many chunk extensions", head + "Transfer-Encoding: chunked\r\n\r\n",
+            "1;x=" + std::string(12'000, 'x') + "\r\nx\r\n" },
         { "chunk size", head + "Transfer-Encoding: chunked\r\n\r\n", "0000000000" },
+        { "trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+            "X-T: " + std::string(1000, 'x') + "\r\n" },
     };
     GatewayFixture fixture;
     auto& replica = fixture.replica("ledger", "r1", serves("data"));
