Refuse requests of other VMs when memory is short

Cause: frames from other VMs were counted but never refused, and the requests of offers that were accepted and not begun were not counted, so an ingress VM could make a dispatcher hold up to 1,000 offers of 9 MiB.

Change: memory for a frame of more than 16 KiB is reserved when its length is known. Without room, an offer is discarded and declined as overloaded, and a discarded answer ends its request as lost; the connection and its other requests go on. Any other large frame closes the connection. Accepted offers are counted, and declined when there is no room. A peer that stops in the middle of a frame of 1 MiB or more is ended like one that does not read.

--- a/libs/gateway/src/dispatcher_link.cpp
+++ b/libs/gateway/src/dispatcher_link.cpp
@@ -95,6 +95,10 @@
                 if (const auto link = weak.lock())
                     link->handleFrame(std::move(frame), BootClock::now());
             };
+            hooks.skipped = [weak](const handover::SkippedFrame& frame) {
+                if (const auto link = weak.lock())
+                    link->handleSkipped(frame);
+            };
             hooks.closed = [weak] {
                 if (const auto link = weak.lock())
                     link->handleClosed();
@@ -195,6 +199,16 @@
     std::visit([this, now](auto& value) { handle(value, now); }, frame);
 }
 
+void DispatcherLink::handleSkipped(const handover::SkippedFrame& frame)
+{
+    const auto found = pending_.find(frame.number);
+    if (found == pending_.end())
+        return;
+    const auto hooks = std::move(found->second.hooks);
+    pending_.erase(found);
+    hooks.lost();
+}
+
 void DispatcherLink::handle(const handover::Acceptance& acceptance, TimePoint now)
 {
     const auto found = pending_.find(acceptance.number);
--- a/libs/gateway/src/dispatcher_link.h
+++ b/libs/gateway/src/dispatcher_link.h
@@ -106,6 +106,8 @@
     void handle(const handover::UpstreamLeaving& leaving, TimePoint) { upstreamLeaving_(leaving); }
     /** Frames that only ingress VMs send. */
     template <typename Other> void handle(const Other&, TimePoint) { closeConnection(); }
+    /** An answer was discarded: its request counts as lost. */
+    void handleSkipped(const handover::SkippedFrame& frame);
     void handleClosed();
     void closeConnection();
 
--- a/libs/gateway/src/frame_connection.cpp
+++ b/libs/gateway/src/frame_connection.cpp
@@ -3,6 +3,8 @@
 #include "close_on_exception.h"
 #include "telemetry/log.h"
 
+#include <algorithm>
+
 namespace banyancroft::gateway {
 
 namespace {
@@ -32,8 +34,9 @@
 
 void FrameConnection::updateMemory()
 {
-    memory_.hold(reader_.bufferedBytes() + writeBuffer_.size());
-    const bool waits = writeBuffer_.size() - bytesWritten_ >= minEndedBytes;
+    const auto incoming = reader_.incompleteBytes();
+    memory_.hold(std::max(reader_.bufferedBytes(), incoming) + writeBuffer_.size());
+    const bool waits = writeBuffer_.size() - bytesWritten_ >= minEndedBytes || incoming >= minEndedBytes;
     if (waits == waitsForPeer_)
         return;
     waitsForPeer_ = waits;
@@ -82,12 +85,35 @@
             "closing connection that carries malformed frames", { { "reason", toString(reason) } });
         close();
     }
+    if (closed_)
+        return;
+    memory_.progressed(count, now);
+    reserveMemory(now);
     if (closed_)
         return;
     updateMemory();
     read();
 }
 
+void FrameConnection::reserveMemory(TimePoint now)
+{
+    const auto incoming = reader_.incompleteBytes();
+    const auto needed = incoming + writeBuffer_.size();
+    // Small frames hold the requests together; the number of connections limits them.
+    if (incoming <= MemoryHolder::smallBytes || needed <= memory_.held() || memory_.tryHold(needed, now))
+        return;
+    const auto skipped = closed_ ? std::nullopt : reader_.skipIncomplete();
+    const bool ofRequest = skipped && (skipped->isOffer || skipped->isAnswer);
+    telemetry::log(telemetry::LogLevel::Warn, "handover",
+        ofRequest ? "discarding a frame because memory is short"
+                  : "closing connection because memory is short",
+        { { "frame_bytes", std::to_string(incoming) } });
+    if (!ofRequest)
+        return close();
+    if (hooks_.skipped)
+        hooks_.skipped(*skipped);
+}
+
 void FrameConnection::send(const handover::Frame& frame)
 {
     if (closed_)
--- a/libs/gateway/src/frame_connection.h
+++ b/libs/gateway/src/frame_connection.h
@@ -15,12 +15,15 @@
 
 /**
  * Connection between an ingress VM and a dispatcher that carries frames in both directions. Closes itself
- * when the peer sends bytes that are not a frame or does not read what is sent to it.
+ * when the peer sends bytes that are not a frame or does not read what is sent to it. When memory is short, a
+ * large offer or answer is not kept, and only its request fails.
  */
 class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
 public:
     struct Hooks {
         std::function<void(handover::Frame)> frame;
+        /** An offer or an answer was discarded because memory is short. */
+        std::function<void(const handover::SkippedFrame&)> skipped;
         /** Called once, also after close(). */
         std::function<void()> closed;
         /** Memory of all connections; nullptr: not limited. Outlives the connection. */
@@ -40,6 +43,11 @@
     void read();
     void handleBytes(std::size_t count, TimePoint now);
     void write();
+    /**
+     * Reserves memory for the frame that is received in part. If there is none, an offer or an answer is
+     * discarded, and the connection is closed for any other frame.
+     */
+    void reserveMemory(TimePoint now);
     /** Counts the bytes of incomplete frames and those that the peer has not taken. */
     void updateMemory();
 
--- a/libs/gateway/src/handover_server.cpp
+++ b/libs/gateway/src/handover_server.cpp
@@ -47,6 +47,7 @@
     Session(HandoverServer& server, tcp::socket socket)
         : server_(server)
         , socket_(std::move(socket))
+        , acceptedMemory_(&server.traffic_.memory(), MemoryUse::Frames, [] {})
     {
     }
 
@@ -57,6 +58,10 @@
             if (const auto self = weak.lock())
                 std::visit([&](auto& value) { self->handle(value, BootClock::now()); }, frame);
         };
+        hooks.skipped = [weak = weak_from_this()](const handover::SkippedFrame& frame) {
+            if (const auto self = weak.lock(); self && frame.isOffer)
+                self->decline(frame.number, DeclineReason::Overloaded);
+        };
         hooks.closed = [weak = weak_from_this()] {
             if (const auto self = weak.lock())
                 self->handleClosed();
@@ -80,6 +85,12 @@
         TimePoint acceptedAt {};
     };
 
+    void removeAccepted(std::map<std::uint64_t, AcceptedOffer>::iterator offer, std::size_t bytes)
+    {
+        accepted_.erase(offer);
+        acceptedMemory_.hold(acceptedMemory_.held() - bytes);
+    }
+
     void decline(std::uint64_t number, DeclineReason reason)
     {
         send(handover::Decline { number, reason, server_.traffic_.configuration().version().value });
@@ -94,8 +105,15 @@
         }
         if (const auto reason = server_.hooks_.whyDeclined())
             return decline(offer.number, *reason);
-        if (accepted_.size() >= maxAcceptedOffers)
+        if (accepted_.size() >= maxAcceptedOffers || accepted_.contains(offer.number))
+            return decline(offer.number, DeclineReason::Overloaded);
+        const auto held = acceptedMemory_.held() + offer.request.size();
+        if (offer.request.size() <= MemoryHolder::ordinaryRequestBytes) {
+            acceptedMemory_.hold(held);
+        } else if (!acceptedMemory_.tryHold(held, now)) {
+            server_.traffic_.metrics().memoryRefused.add();
             return decline(offer.number, DeclineReason::Overloaded);
+        }
         accepted_[offer.number] = { std::move(offer.request), now };
         send(handover::Acceptance { offer.number, version });
     }
@@ -106,7 +124,7 @@
         if (found == accepted_.end())
             return;
         const auto offer = std::move(found->second);
-        accepted_.erase(found);
+        removeAccepted(found, offer.request.size());
         if (now - offer.acceptedAt > acceptanceLifetime)
             return decline(begin.number, DeclineReason::Lapsed);
         http::MessageReader reader(
@@ -133,7 +151,8 @@
 
     void handle(const handover::Cancel& cancel, TimePoint)
     {
-        accepted_.erase(cancel.number);
+        if (const auto offer = accepted_.find(cancel.number); offer != accepted_.end())
+            removeAccepted(offer, offer->second.request.size());
         const auto found = running_.find(cancel.number);
         if (found == running_.end())
             return;
@@ -169,6 +188,7 @@
     {
         const auto self = shared_from_this();
         accepted_.clear();
+        acceptedMemory_.hold(0);
         const auto running = std::exchange(running_, {});
         server_.pendingRequests_ -= running.size();
         server_.sessions_.erase(self);
@@ -182,6 +202,8 @@
     tcp::socket socket_;
     std::shared_ptr<FrameConnection> connection_;
     std::map<std::uint64_t, AcceptedOffer> accepted_;
+    /** The requests of accepted offers. */
+    MemoryHolder acceptedMemory_;
     /** Handlers for the departure of the caller, by request. */
     std::map<std::uint64_t, std::function<void()>> running_;
 };
--- a/libs/gateway/tests/test_handover.cpp
+++ b/libs/gateway/tests/test_handover.cpp
@@ -231,6 +231,36 @@
     BOOST_TEST((BootClock::now() - resumedAt >= 1500ms));
 }
 
+// Guards against offers that are accepted and never begin, whose requests together exceed the memory of the
+// VM: the offers beyond its account are declined, and the others on the connection are not affected.
+BOOST_AUTO_TEST_CASE(offersBeyondTheMemoryAreDeclined)
+{
+    HandoverFixture fleet(serves("data"));
+    constexpr std::size_t requestBytes = std::size_t { 8 } * 1024 * 1024;
+    constexpr std::size_t offers = 24;
+    std::size_t accepted = 0;
+    std::size_t declined = 0;
+    bool servesSmall = false;
+    fleet.runCallers<int>([&] {
+        FrameClient client(fleet.dispatcher->settings.handover.port);
+        const auto isAccepted = [&](std::uint64_t number, std::string request) {
+            client.send(handover::Offer { number, 1, std::move(request) });
+            const auto frame = client.read();
+            const auto* decline = frame ? std::get_if<handover::Decline>(&*frame) : nullptr;
+            declined += decline && decline->number == number
+                && decline->reason == handover::DeclineReason::Overloaded;
+            return frame && std::holds_alternative<handover::Acceptance>(*frame);
+        };
+        for (std::uint64_t number = 1; number <= offers; ++number)
+            accepted += isAccepted(number, std::string(requestBytes, 'x'));
+        servesSmall = isAccepted(offers + 1, offeredRequest("/lookup/1", "id"));
+        return 0;
+    });
+    BOOST_TEST(accepted * requestBytes <= fleet.dispatcher->settings.memoryBytes / 2);
+    BOOST_TEST(accepted + declined == offers);
+    BOOST_TEST(servesSmall);
+}
+
 // Bytes that are not frames, in small and in large amounts, close the connection and harm no other.
 BOOST_AUTO_TEST_CASE(bytesThatAreNoFramesCloseTheirConnection)
 {
--- a/libs/handover/include/handover/frames.h
+++ b/libs/handover/include/handover/frames.h
@@ -131,6 +131,13 @@
 /** Encodes a frame as its length in four bytes, most significant first, followed by a MessagePack array. */
 std::string encode(const Frame& frame);
 
+/** The kind and the request of a frame whose content was not kept. */
+struct SkippedFrame {
+    bool isOffer = false;
+    bool isAnswer = false;
+    std::uint64_t number = 0;
+};
+
 /** Splits the bytes of a connection into frames. Holds at most one incomplete frame. */
 class FrameReader {
 public:
@@ -140,7 +147,7 @@
     {
     }
 
-    void append(std::string_view bytes) { buffer_.append(bytes); }
+    void append(std::string_view bytes);
     /**
      * @return the next complete frame; empty if more bytes are needed or, with a reason, if the bytes are not
      * a frame. After such an error the connection cannot be read any further.
@@ -148,11 +155,23 @@
     std::optional<Frame> next(Error& reason);
     /** Bytes that are kept, read or not. */
     std::size_t bufferedBytes() const { return buffer_.size(); }
+    /** Size of the frame that is received in part; zero if there is none or its length is not known yet. */
+    std::size_t incompleteBytes() const;
+    /**
+     * Discards the frame that is received in part, including its bytes that are still to come.
+     * @return empty if too few bytes were received to tell what the frame is about; nothing is discarded then
+     */
+    std::optional<SkippedFrame> skipIncomplete();
 
 private:
+    /** Length of the frame at the start of the unread bytes, without the length itself. */
+    std::optional<std::size_t> nextLength() const;
+
     const std::size_t maxFrameBytes_;
     std::string buffer_;
     std::size_t consumed_ = 0;
+    /** Bytes of a discarded frame that are still to come. */
+    std::size_t skippedBytes_ = 0;
 };
 
 } // namespace banyancroft::handover
--- a/libs/handover/src/frames.cpp
+++ b/libs/handover/src/frames.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace banyancroft::handover {
@@ -31,6 +32,14 @@
     CreditReturn,
 };
 
+std::uint64_t bigEndian(std::string_view bytes)
+{
+    std::uint64_t value = 0;
+    for (const char byte : bytes)
+        value = (value << 8) | static_cast<unsigned char>(byte);
+    return value;
+}
+
 template <typename... Values> Json message(FrameType type, Values&&... values)
 {
     return Json::array({ static_cast<unsigned>(type), std::forward<Values>(values)... });
@@ -206,14 +215,62 @@
     return bytes;
 }
 
-std::optional<Frame> FrameReader::next(Error& reason)
+void FrameReader::append(std::string_view bytes)
+{
+    const auto skipped = std::min(skippedBytes_, bytes.size());
+    skippedBytes_ -= skipped;
+    buffer_.append(bytes.substr(skipped));
+}
+
+std::optional<std::size_t> FrameReader::nextLength() const
 {
     const auto available = std::string_view(buffer_).substr(consumed_);
     if (available.size() < lengthBytes)
         return std::nullopt;
-    std::size_t length = 0;
-    for (const char byte : available.substr(0, lengthBytes))
-        length = (length << 8) | static_cast<unsigned char>(byte);
+    return static_cast<std::size_t>(bigEndian(available.substr(0, lengthBytes)));
+}
+
+std::size_t FrameReader::incompleteBytes() const
+{
+    const auto length = nextLength();
+    return length && buffer_.size() - consumed_ < lengthBytes + *length ? lengthBytes + *length : 0;
+}
+
+std::optional<SkippedFrame> FrameReader::skipIncomplete()
+{
+    // A MessagePack array of up to 15 elements, the type in one byte, and the number in up to nine.
+    constexpr std::size_t headBytes = 11;
+    const auto frameBytes = incompleteBytes();
+    const auto available = std::string_view(buffer_).substr(consumed_);
+    if (frameBytes < lengthBytes + headBytes || available.size() < lengthBytes + headBytes)
+        return std::nullopt;
+    const auto head = available.substr(lengthBytes, headBytes);
+    const auto type = static_cast<FrameType>(head[1]);
+    SkippedFrame skipped { type == FrameType::Offer, type == FrameType::Answer, 0 };
+    constexpr unsigned char uint8Tag = 0xcc;
+    constexpr unsigned char uint64Tag = 0xcf;
+    const auto tag = static_cast<unsigned char>(head[2]);
+    if (tag < 0x80) {
+        skipped.number = tag;
+    } else if (tag >= uint8Tag && tag <= uint64Tag) {
+        skipped.number = bigEndian(head.substr(3, std::size_t { 1 } << (tag - uint8Tag)));
+    } else {
+        return std::nullopt;
+    }
+    skippedBytes_ = frameBytes - available.size();
+    // The memory is short, so none is kept for later frames.
+    buffer_ = std::string();
+    consumed_ = 0;
+    return skipped;
+}
+
+std::optional<Frame> FrameReader::next(Error& reason)
+{
+    const auto available = std::string_view(buffer_).substr(consumed_);
+    const auto announced = nextLength();
+    if (!announced)
+        return std::nullopt;
+    const auto length = *announced;
     if (length > maxFrameBytes_) {
         reason = { ErrorKind::MalformedMessage,
             "frame of " + std::to_string(length) + " bytes exceeds the limit of "
--- a/libs/handover/tests/test_frames.cpp
+++ b/libs/handover/tests/test_frames.cpp
@@ -99,3 +99,32 @@
         }
     }
 }
+
+// Guards against a discarded frame after which the next one is read from the wrong place, or is charged to
+// another request.
+BOOST_AUTO_TEST_CASE(frameAfterASkippedOneIsRead)
+{
+    for (const std::uint64_t number :
+        { std::uint64_t { 5 }, std::uint64_t { 200 }, std::uint64_t { 70'000 }, ~std::uint64_t { 0 } }) {
+        const auto bytes = encode(Offer { number, 1, std::string(50'000, 'x') });
+        FrameReader reader(100'000);
+        Error reason;
+        reader.append(std::string_view(bytes).substr(0, 10));
+        BOOST_TEST(!reader.next(reason).has_value());
+        BOOST_TEST(reader.incompleteBytes() == bytes.size());
+        BOOST_TEST(!reader.skipIncomplete().has_value());
+        reader.append(std::string_view(bytes).substr(10, 5'000));
+        BOOST_TEST(!reader.next(reason).has_value());
+        const auto skipped = reader.skipIncomplete();
+        BOOST_REQUIRE(skipped.has_value());
+        BOOST_TEST(skipped->isOffer);
+        BOOST_TEST(!skipped->isAnswer);
+        BOOST_TEST(skipped->number == number);
+        BOOST_TEST(reader.bufferedBytes() == 0U);
+        reader.append(std::string_view(bytes).substr(5'010));
+        reader.append(encode(Cancel { 7 }));
+        const auto next = reader.next(reason);
+        BOOST_REQUIRE(next.has_value());
+        BOOST_TEST(std::get<Cancel>(*next).number == 7U);
+    }
+}
