End requests that certainly cannot succeed before their deadline

Cause: a request whose next send was impossible (replicas excluded beyond its deadline, queues longer than the time left, no retry budget) looked for a replica or budget every 3 to 20 ms until its deadline, although the outcome was certain, and its caller lost the time for another attempt.

Change: dispatch::SuccessOutlook judges a shard from lower bounds of the exclusions, reported queues, the retry budget and the time left; what is not known counts in favour of the request. RequestRunner reports a lost shard to RequestPlan as unavailable, so coverage, sends in progress and sufficient parts are handled as before. Before any send the response is 503 with a Retry-After that gives the time at which room is expected, spread over callers; after a send that may have run, 502. A request log line gives the inputs and their age; banyancroft_gateway_ended_early_total counts.

--- a/libs/dispatch/include/dispatch/retry_budget.h
+++ b/libs/dispatch/include/dispatch/retry_budget.h
@@ -41,6 +41,12 @@
      * @return false when the repeat must not be sent
      */
     bool tryWithdraw(TimePoint now, unsigned vms, double reserve);
+    /**
+     * Lower bound of the time at which a repeat can be permitted; TimePoint::max() if never. Assumes that
+     * requests arrive much faster than in the window, so that a surge does not make it wrong.
+     * @param vms least number of VMs that may share the slack by then, at least 1
+     */
+    TimePoint earliestRepeat(TimePoint now, unsigned vms) const;
     /** Remaining repeats; negative when the budget is overdrawn. */
     double available(TimePoint now, unsigned vms) const;
 
@@ -54,6 +60,8 @@
     Interval& currentInterval(TimePoint now);
     double allowed(TimePoint now, unsigned vms) const;
     unsigned spent(TimePoint now) const;
+    /** Upper bound of the requests per second that may arrive from now on. */
+    double surgeRate() const;
     Duration intervalLength() const;
     long intervalNumber(TimePoint now) const;
 
--- a/libs/dispatch/src/retry_budget.cpp
+++ b/libs/dispatch/src/retry_budget.cpp
@@ -14,6 +14,10 @@
 /** Fraction of the slack that is used. A process that has just started does not know what the previous one
  * spent, so two processes together have to stay within the slack. */
 constexpr double usedSlackFraction = 0.45;
+/** A surge is assumed to bring up to this multiple of the highest rate of the window. */
+constexpr double surgeFactor = 10;
+/** Least rate of a surge, in requests per second: what all VMs of a deployment together are designed for. */
+constexpr double minSurgeRate = 250;
 
 } // namespace
 
@@ -84,6 +88,40 @@
     return allowed(now, vms) - static_cast<double>(spent(now));
 }
 
+double RetryBudget::surgeRate() const
+{
+    unsigned most = 0;
+    for (const auto& entry : intervals_)
+        most = std::max(most, entry.requests);
+    const double perSecond = most / std::chrono::duration<double>(intervalLength()).count();
+    return std::max(minSurgeRate, surgeFactor * perSecond);
+}
+
+TimePoint RetryBudget::earliestRepeat(TimePoint now, unsigned vms) const
+{
+    const double earnedPerSecond = usedRatioFraction * limit_.ratio * surgeRate();
+    // Requests that leave the window reduce the budget; that they stay in it keeps the result a lower bound.
+    const double allowedNow = allowed(now, vms);
+    const auto current = intervalNumber(now);
+    for (long interval = current;; ++interval) {
+        const auto begin = std::max(now, startedAt_ + intervalLength() * interval);
+        const auto end = startedAt_ + intervalLength() * (interval + 1);
+        const auto repeats = spent(begin);
+        const double lacking = 1 + static_cast<double>(repeats) - allowedNow;
+        if (lacking <= 0)
+            return begin;
+        // Below this the time would not fit into a Duration.
+        constexpr double minEarnedPerSecond = 1e-6;
+        if (earnedPerSecond >= minEarnedPerSecond) {
+            const auto earnedAt = now + scaled(std::chrono::seconds(1), lacking / earnedPerSecond);
+            if (earnedAt < end || repeats == 0)
+                return std::max(begin, earnedAt);
+        } else if (repeats == 0) {
+            return TimePoint::max();
+        }
+    }
+}
+
 bool RetryBudget::tryWithdraw(TimePoint now, unsigned vms, double reserve)
 {
     const double total = allowed(now, vms);
--- a/libs/dispatch/tests/test_retry_budget.cpp
+++ b/libs/dispatch/tests/test_retry_budget.cpp
@@ -151,3 +151,23 @@
     BOOST_TEST((median < 50ms));
     BOOST_TEST((LatencyQuantiles().quantile(0.5, 7ms) == 7ms));
 }
+
+// Guards against requests that end early although a surge or the end of the window lets them repeat in time.
+BOOST_AUTO_TEST_CASE(earliestRepeatIsALowerBoundInASurge)
+{
+    for (const double ratio : { 0.0, 0.2 }) {
+        auto scripted = limit;
+        scripted.ratio = ratio;
+        RetryBudget budget(scripted, start);
+        auto now = start + 20s;
+        while (budget.tryWithdraw(now, 1, 0)) { }
+        const auto earliest = budget.earliestRepeat(now, 1);
+        BOOST_TEST((earliest > now));
+        // 200 requests per second after none.
+        for (; !budget.tryWithdraw(now, 1, 0); now += 5ms)
+            budget.deposit(now);
+        BOOST_TEST((earliest <= now));
+    }
+    RetryBudget none({ 0, 10s, 0 }, start);
+    BOOST_TEST((none.earliestRepeat(start, 1) == TimePoint::max()));
+}
--- a/libs/gateway/src/request_runner.cpp
+++ b/libs/gateway/src/request_runner.cpp
@@ -166,9 +166,74 @@
         if (!restEnd || *restEnd >= rules.partialAnswerAt)
             return respondWithRefusal(now);
     }
+    if (route_.isGather())
+        excludeLostShards(now);
     runPlan(now);
 }
 
+void RequestRunner::excludeLostShards(TimePoint now)
+{
+    Step step;
+    for (step.shard = 0; step.shard < plan_->rules().shards; ++step.shard) {
+        if (!traffic_.hasPromptReplica(serviceOf(step.shard), plan_->rules().deadline, now)
+            && isLost(step, {}, {}, now))
+            plan_->unavailable(step.shard);
+    }
+}
+
+dispatch::ShardOutlook RequestRunner::shardOutlook(
+    const Step& step, std::span<const std::uint64_t> tried, TimePoint now) const
+{
+    dispatch::ShardOutlook outlook;
+    outlook.sendInProgress = isOpen(attempts_, step.shard);
+    const bool idempotent = plan_->rules().idempotent;
+    const auto resendAt = nextResendTime(attempts_, step.shard, idempotent);
+    const auto notAgain = excludedUpstreams(attempts_, step.shard, idempotent);
+    const auto contains = [](std::span<const std::uint64_t> numbers, std::uint64_t number) {
+        return std::find(numbers.begin(), numbers.end(), number) != numbers.end();
+    };
+    for (const auto& upstream : traffic_.registry().upstreams(serviceOf(step.shard))) {
+        auto& replica = outlook.replicas.emplace_back(traffic_.replicaOutlook(*upstream, *routes_, now));
+        const bool wasTried = contains(tried, upstream->number);
+        if (wasTried ? !resendAt || contains(notAgain, upstream->number) : step.sameUpstream) {
+            replica.exclusion = dispatch::Exclusion::AlreadySent;
+            replica.availableAt = TimePoint::max();
+        } else if (wasTried) {
+            replica.availableAt = std::max(replica.availableAt, *resendAt);
+        }
+    }
+    return outlook;
+}
+
+bool RequestRunner::isLost(
+    const Step& step, std::span<const std::uint64_t> tried, std::optional<TimePoint> repeatAt, TimePoint now)
+{
+    auto outlook = shardOutlook(step, tried, now);
+    outlook.repeatAt = repeatAt;
+    const auto verdict = outlook_.update(step.shard, outlook, plan_->rules().deadline, now);
+    if (verdict.loss == dispatch::LossReason::None)
+        return false;
+    const auto millisUntil
+        = [now](TimePoint at) { return at == TimePoint::max() ? "unknown" : formatMillis(at - now); };
+    traffic_.requestLog().logStep(now, "request cannot succeed at a service",
+        { { "id", requestId_ }, { "service", serviceOf(step.shard).str() },
+            { "reason", std::string(toString(verdict.loss)) },
+            { "left_ms", formatMillis(plan_->rules().deadline - now) },
+            { "earliest_ms", millisUntil(verdict.earliestAt) }, { "room_ms", millisUntil(verdict.roomAt) },
+            { "repeat_ms", repeatAt ? millisUntil(*repeatAt) : "0" },
+            { "replicas", dispatch::describe(outlook.replicas, now) },
+            { "knowledge_age_ms", formatMillis(verdict.oldestKnowledge) } });
+    return true;
+}
+
+bool RequestRunner::recordEarlyEnd(TimePoint now)
+{
+    const bool early = outlook_.hasLostShards() && now < plan_->rules().deadline;
+    if (early)
+        traffic_.metrics().endedEarly.add();
+    return early;
+}
+
 void RequestRunner::runPlan(TimePoint now)
 {
     // An attempt may end synchronously and re-enter this function; the outer call handles the resulting
@@ -263,8 +328,11 @@
     const auto tried = triedUpstreams(attempts_, step.shard);
     const auto placement = selectReplica(step, tried, now);
     if (!placement.upstream) {
-        if (placement.canWait)
+        if (placement.canWait) {
+            if (isLost(step, tried, {}, now))
+                return plan_->unavailable(step.shard);
             return plan_->blocked(step.shard, now + busyRetryDelay);
+        }
         // The attempt in progress may still be refused; its replica may then receive the request again.
         if (isOpen(attempts_, step.shard))
             return plan_->blocked(step.shard, plan_->rules().deadline);
@@ -277,10 +345,16 @@
                 { "registered", std::to_string(traffic_.registry().upstreams(service).size()) } });
         return plan_->unavailable(step.shard);
     }
+    const auto queueDelay = traffic_.leastQueueDelay(*placement.upstream, now).value_or(Duration::zero());
+    if (now + queueDelay >= plan_->rules().deadline && isLost(step, tried, {}, now))
+        return plan_->unavailable(step.shard);
     if (step.repeat) {
         const double reserve = step.optional ? optionalRepeatReserve : 0;
         if (!traffic_.tryWithdrawRepeat(service, reserve, now)) {
             traffic_.metrics().repeatsDenied.add();
+            if (!isOpen(attempts_, step.shard)
+                && isLost(step, tried, traffic_.earliestRepeat(service, now), now))
+                return plan_->unavailable(step.shard);
             return plan_->blocked(step.shard, now + budgetRetryDelay);
         }
         ++repeats_;
@@ -483,9 +557,17 @@
     // Callers that are refused at the same time must not return all at once.
     if (restEnd)
         wait = std::max(wait, scaled(*restEnd - now, 1 + returnSpread * traffic_.uniformRandom()));
+    const bool early = recordEarlyEnd(now);
+    if (early) {
+        const auto& rules = plan_->rules();
+        const auto roomAt = outlook_.roomAt(rules.shards, rules.requiredParts, now);
+        const auto room = std::max<Duration>(unavailableRetryAfter, roomAt.value_or(now) - now);
+        wait = std::max(wait, scaled(room, 1 + returnSpread * traffic_.uniformRandom()));
+    }
     finish(unavailableResponse(traffic_.dialect().headers, wait),
         cutOff        ? "refused, cut off"
             : restEnd ? "refused, replicas rest"
+            : early   ? "refused, cannot succeed"
                       : "refused",
         now);
 }
@@ -493,13 +575,17 @@
 void RequestRunner::respondWithFailure(TimePoint now)
 {
     traffic_.metrics().failed.add();
+    const bool early = recordEarlyEnd(now);
     // A replica whose answer this VM could not take in was reached.
     if (!lackedMemory_)
         traffic_.reach().recordFailure(now);
     if (failureResponse_)
         return finish(*failureResponse_, "failure of the replica", now);
     const bool late = now >= plan_->rules().deadline;
-    finish(emptyResponse(late ? statusGatewayTimeout : statusBadGateway), late ? "deadline passed" : "failed",
+    finish(emptyResponse(late ? statusGatewayTimeout : statusBadGateway),
+        late        ? "deadline passed"
+            : early ? "failed, cannot succeed"
+                    : "failed",
         now);
 }
 
--- a/libs/gateway/src/request_runner.h
+++ b/libs/gateway/src/request_runner.h
@@ -2,6 +2,7 @@
 
 #include "attempts.h"
 #include "dispatch/request_plan.h"
+#include "dispatch/success_outlook.h"
 #include "gather_response.h"
 #include "quota/credit_ledger.h"
 #include "request_routing.h"
@@ -41,6 +42,19 @@
     /** Selects a replica that has not received the request, otherwise one that it may be resent to. */
     upstreams::Placement selectReplica(
         const dispatch::Step& step, std::span<const std::uint64_t> tried, TimePoint now);
+    /** What is known of the replicas that may receive the next send. */
+    dispatch::ShardOutlook shardOutlook(
+        const dispatch::Step& step, std::span<const std::uint64_t> tried, TimePoint now) const;
+    /**
+     * Returns true, and logs the reasons, if the shard certainly cannot deliver before the deadline.
+     * @param repeatAt earliest time of a repeat, if the retry budget has denied one
+     */
+    bool isLost(const dispatch::Step& step, std::span<const std::uint64_t> tried,
+        std::optional<TimePoint> repeatAt, TimePoint now);
+    /** Marks the shards that cannot deliver, before anything is sent. */
+    void excludeLostShards(TimePoint now);
+    /** Counts a request that ends because shards were lost. */
+    bool recordEarlyEnd(TimePoint now);
     void connect(const AttemptPointer& attempt, TimePoint now);
     void sendOnConnection(
         const AttemptPointer& attempt, const std::shared_ptr<UpstreamConnection>& connection, TimePoint now);
@@ -83,6 +97,7 @@
     const Duration deadline_;
     ServiceId selectedService_;
     std::optional<dispatch::RequestPlan> plan_;
+    dispatch::SuccessOutlook outlook_;
     std::vector<AttemptPointer> attempts_;
     std::vector<ShardResult> shardResults_;
     std::optional<http::Response> result_;
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -83,6 +83,8 @@
           "banyancroft_quota_questions_total", "Requests whose credit was asked of another VM"))
     , creditFallbacks(metrics.counter("banyancroft_quota_fallbacks_total",
           "Requests decided by this VM's own share of the customer's limit"))
+    , endedEarly(metrics.counter("banyancroft_gateway_ended_early_total",
+          "Requests ended before their deadline because they could not succeed any more"))
     , failed(metrics.counter("banyancroft_gateway_failed_total", "Requests that failed and may have run"))
     , callersGone(metrics.counter("banyancroft_gateway_callers_gone_total", "Callers that left early"))
     , subRequests(metrics.counter("banyancroft_gateway_sub_requests_total", "Requests sent to replicas"))
@@ -222,15 +224,92 @@
     return coldLimiters_.try_emplace(upstream.number, startedAt_).first->second;
 }
 
-double TrafficManager::coldRate(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const
+double TrafficManager::sharedColdRate(
+    const upstreams::Upstream& upstream, const routing::RouteTable& routes) const
 {
     const auto* service = routes.service(upstream.record.service);
     if (!service || service->coldRequestsPerSecond <= 0)
         return std::numeric_limits<double>::infinity();
-    const double sharedColdRate
-        = service->coldRequestsPerSecond * settings_.coldOvershoot + settings_.coldSlack;
-    return upstreams::coldShare(
-        upstream.record.id, coldRateUtilization * sharedColdRate, dispatchers_, settings_.vm);
+    const double rate = service->coldRequestsPerSecond * settings_.coldOvershoot + settings_.coldSlack;
+    return coldRateUtilization * rate;
+}
+
+double TrafficManager::coldRate(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const
+{
+    const double rate = sharedColdRate(upstream, routes);
+    if (rate == std::numeric_limits<double>::infinity())
+        return rate;
+    return upstreams::coldShare(upstream.record.id, rate, dispatchers_, settings_.vm);
+}
+
+TimePoint TrafficManager::earliestColdSend(
+    const upstreams::Upstream& upstream, const routing::RouteTable& routes, TimePoint now) const
+{
+    // The share of this VM can become the whole rate when other dispatchers stop.
+    const double rate = sharedColdRate(upstream, routes);
+    const auto limiter = coldLimiters_.find(upstream.number);
+    const auto limited = limiter != coldLimiters_.end() ? limiter->second.earliestSend(rate, now) : now;
+    return std::max({ now, coldSendsFrom_, limited });
+}
+
+dispatch::ReplicaOutlook TrafficManager::replicaOutlook(
+    const upstreams::Upstream& upstream, const routing::RouteTable& routes, TimePoint now) const
+{
+    dispatch::ReplicaOutlook outlook;
+    // The longest of several exclusions counts. A misdirected replica is not excluded: its registration may
+    // change at any time.
+    const auto exclude = [&outlook](dispatch::Exclusion exclusion, TimePoint until) {
+        if (until <= outlook.availableAt)
+            return;
+        outlook.exclusion = exclusion;
+        outlook.availableAt = until;
+    };
+    const auto& health = upstream.health;
+    outlook.leastDelay = leastQueueDelay(upstream, now);
+    outlook.knowledgeAge = outlook.leastDelay ? health.reportAge(now)
+                                              : health.timeSinceResponse(now).value_or(Duration::zero());
+    const auto found = pools_.find(upstream.number);
+    const bool isConnecting = found != pools_.end() && found->second->isConnecting();
+    // Any response ends the suspicion and may end the cold phase.
+    const bool mayRespond = health.outstanding() > 0 || isConnecting;
+    if (health.isSuspect(now) && !mayRespond)
+        exclude(dispatch::Exclusion::Suspect, std::max(now, health.nextProbe()));
+    if (upstream.isCold(now) && !mayRespond)
+        exclude(
+            dispatch::Exclusion::Cold, std::min(upstream.coldUntil, earliestColdSend(upstream, routes, now)));
+    if (upstream.isResting(now))
+        exclude(dispatch::Exclusion::Resting, upstream.restUntil);
+    if (registry_.isEvacuated(upstream.record.zone))
+        exclude(dispatch::Exclusion::Evacuated, TimePoint::max());
+    if (!upstream.usable)
+        exclude(dispatch::Exclusion::Leaving, TimePoint::max());
+    outlook.availableForNewAt = outlook.availableAt;
+    return outlook;
+}
+
+std::optional<Duration> TrafficManager::leastQueueDelay(
+    const upstreams::Upstream& upstream, TimePoint now) const
+{
+    const auto found = pools_.find(upstream.number);
+    if (found == pools_.end())
+        return std::nullopt;
+    return upstream.health.leastQueueDelay(upstream.record.slots, found->second->handshakeTime(), now);
+}
+
+bool TrafficManager::hasPromptReplica(const ServiceId& service, TimePoint deadline, TimePoint now) const
+{
+    const auto replicas = registry_.upstreams(service);
+    return std::any_of(replicas.begin(), replicas.end(), [&](const auto& upstream) {
+        return upstreams::isCandidate(*upstream, registry_, now) && !upstream->isCold(now)
+            && now + leastQueueDelay(*upstream, now).value_or(Duration::zero()) < deadline;
+    });
+}
+
+TimePoint TrafficManager::earliestRepeat(const ServiceId& service, TimePoint now)
+{
+    // Half of the dispatchers may stop meanwhile, which increases this VM's share of the slack.
+    const auto sharers = std::max<std::size_t>(1, dispatchers_.size() / 2);
+    return budget(service).earliestRepeat(now, static_cast<unsigned>(sharers));
 }
 
 upstreams::Placement TrafficManager::place(const ServiceId& service, Duration typical,
--- a/libs/gateway/src/traffic_manager.h
+++ b/libs/gateway/src/traffic_manager.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/hedge_delay.h"
 #include "dispatch/retry_budget.h"
+#include "dispatch/success_outlook.h"
 #include "gateway/dialect.h"
 #include "gateway/settings.h"
 #include "memory_account.h"
@@ -46,6 +47,7 @@
     telemetry::Counter& limitUnknown;
     telemetry::Counter& creditQuestions;
     telemetry::Counter& creditFallbacks;
+    telemetry::Counter& endedEarly;
     telemetry::Counter& failed;
     telemetry::Counter& callersGone;
     telemetry::Counter& subRequests;
@@ -190,6 +192,16 @@
      */
     std::optional<TimePoint> servableAfterRest(
         std::span<const ServiceId> services, std::size_t needed, TimePoint now) const;
+    /** What is known of a replica, without regard to where a request was sent before. */
+    dispatch::ReplicaOutlook replicaOutlook(
+        const upstreams::Upstream& upstream, const routing::RouteTable& routes, TimePoint now) const;
+    /** Lower bound of the time in the queue of the replica; empty if it is not known. */
+    std::optional<Duration> leastQueueDelay(const upstreams::Upstream& upstream, TimePoint now) const;
+    /** Returns true if a replica of the service takes requests now and is not known to be too slow for the
+     * deadline. */
+    bool hasPromptReplica(const ServiceId& service, TimePoint deadline, TimePoint now) const;
+    /** Lower bound of the time at which the retry budget of the service can permit a repeat. */
+    TimePoint earliestRepeat(const ServiceId& service, TimePoint now);
     /** Tracks from request outcomes whether this VM can reach the replicas. */
     ReachTracker& reach() { return reach_; }
     const ReachTracker& reach() const { return reach_; }
@@ -208,6 +220,11 @@
     void probeUnresponsiveReplica(const upstreams::UpstreamPointer& upstream, TimePoint now);
     /** Closes the connections to replicas that receive no new requests. */
     void removeUnusedPools();
+    /** Requests per second that all VMs together may send to a cold replica; infinite without a limit. */
+    double sharedColdRate(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const;
+    /** Earliest time at which this VM may send to the replica in its cold phase, whatever its share is. */
+    TimePoint earliestColdSend(
+        const upstreams::Upstream& upstream, const routing::RouteTable& routes, TimePoint now) const;
     /** Requests per second that this VM may send to the replica while it is cold. */
     double coldRate(const upstreams::Upstream& upstream, const routing::RouteTable& routes) const;
     /** Updates the health of a replica that has answered and reports a change of its useful concurrency. */
--- a/libs/upstreams/include/upstreams/cold_request_limiter.h
+++ b/libs/upstreams/include/upstreams/cold_request_limiter.h
@@ -2,6 +2,9 @@
 
 #include "base/time.h"
 
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
 #include <deque>
 
 namespace banyancroft::upstreams {
@@ -32,6 +35,18 @@
         return static_cast<double>(sendTimes_.size()) + 1 <= perSecond;
     }
 
+    /** Earliest time at which maySend() can hold for `perSecond`; TimePoint::max() below one a second. */
+    TimePoint earliestSend(double perSecond, TimePoint now) const
+    {
+        if (perSecond < 1)
+            return TimePoint::max();
+        const auto count = static_cast<double>(sendTimes_.size());
+        if (count + 1 <= perSecond)
+            return std::max(now, earliestSend_);
+        const auto expiring = static_cast<std::size_t>(count - std::floor(perSecond));
+        return std::max({ now, earliestSend_, sendTimes_[expiring] + window });
+    }
+
     void sent(TimePoint now) { sendTimes_.push_back(now); }
 
 private:
--- a/libs/upstreams/include/upstreams/health.h
+++ b/libs/upstreams/include/upstreams/health.h
@@ -80,6 +80,14 @@
      * @param slots requests that the replica processes concurrently
      */
     Duration expectedDelay(unsigned slots, Duration typicalLatency, TimePoint now) const;
+    /**
+     * Lower bound of the time that a request waits in the replica's queue, from a current load report and the
+     * shortest answer time of this run of the replica; empty without both.
+     * @param networkDelay part of the answer time that is not work of the replica
+     */
+    std::optional<Duration> leastQueueDelay(unsigned slots, Duration networkDelay, TimePoint now) const;
+    /** Time since the replica responded to a request; empty if it never has. */
+    std::optional<Duration> timeSinceResponse(TimePoint now) const;
     /** Recent latency as a multiple of the typical latency; 1 is average. */
     double relativeLatency(TimePoint now) const;
     /** Fraction of recent requests that were refused, 0 to 1. */
@@ -128,6 +136,8 @@
      * itself adds `suspectStreak`. */
     unsigned noResponseStreak_ = 0;
     TimePoint lastResponseAt_ {};
+    /** Shortest time to an answer so far. */
+    std::optional<Duration> leastLatency_;
     TimePoint nextProbe_ {};
     CapacityEstimate capacity_;
 };
--- a/libs/upstreams/src/health.cpp
+++ b/libs/upstreams/src/health.cpp
@@ -36,6 +36,11 @@
 constexpr Duration probeAfterSilence = std::chrono::milliseconds(200);
 /** Consecutive failed connections and timed-out requests after which a replica is suspect. */
 constexpr unsigned suspectStreak = 2;
+/** Age up to which a load report says how long the queue of a replica is; as for the load of other VMs. */
+constexpr Duration maxQueueReportAge = std::chrono::milliseconds(100);
+/** Part of the reported queue that is certain to be processed before a new request: waiting requests also
+ * leave the queue when their callers give up. */
+constexpr double certainQueueShare = 0.5;
 constexpr Duration minProbeInterval = std::chrono::milliseconds(200);
 constexpr Duration maxProbeInterval = std::chrono::milliseconds(400);
 
@@ -75,6 +80,7 @@
     const double inProgress = removeOutstanding(sentAt) + otherVmsLoad(now);
     noResponseStreak_ = 0;
     lastResponseAt_ = now;
+    leastLatency_ = std::min(leastLatency_.value_or(Duration::max()), now - sentAt);
     // The report of this answer, if it had one, was passed to loadReported() just before.
     const bool hasReport = lastReport_ && loadReportedAt_ == now;
     const double slowness = hasReport ? lastReport_->slowness : 1;
@@ -176,6 +182,23 @@
     return otherVmsLoad_ * std::exp(-seconds(now - loadReportedAt_) / loadReportDecaySeconds);
 }
 
+std::optional<Duration> UpstreamHealth::leastQueueDelay(
+    unsigned slots, Duration networkDelay, TimePoint now) const
+{
+    if (!lastReport_ || !leastLatency_ || reportAge(now) > maxQueueReportAge)
+        return std::nullopt;
+    const auto work = std::max(Duration::zero(), *leastLatency_ - networkDelay);
+    const auto concurrent = std::max({ 1U, slots, lastReport_->slots, lastReport_->running });
+    return scaled(work, certainQueueShare * lastReport_->waiting / concurrent);
+}
+
+std::optional<Duration> UpstreamHealth::timeSinceResponse(TimePoint now) const
+{
+    if (lastResponseAt_ == TimePoint {})
+        return std::nullopt;
+    return now - lastResponseAt_;
+}
+
 double UpstreamHealth::slownessFactor(TimePoint now) const
 {
     const double usual = 1 + slownessExcess_.value(now);
