--- a/banyancroftctl/tests/test_check.cpp
+++ b/banyancroftctl/tests/test_check.cpp
@@ -73,6 +73,7 @@
     BOOST_TEST(invalid.out.ends_with("\nno valid configuration: 1 error, 0 warnings, 0 notes\n"));
 }
 
+// Guards against a difference or a missing replica that the report does not show.
 BOOST_AUTO_TEST_CASE(comparesWithConfigurationInForceAndReplicas)
 {
     const File inForce("ctl_test_check_in_force.json",
@@ -128,6 +129,7 @@
     }
 }
 
+// Guards against a script that takes a check which did not happen for a result.
 BOOST_AUTO_TEST_CASE(invalidUsageHasItsExitCode)
 {
     const std::vector<std::vector<std::string>> invocations { {}, { "-", "-" }, { "/no/such/file" }, { "/" },
