Keep rate limits while a VM that lost its registration returns

Cause: a VM whose registration lapsed for less than 5 s is no newcomer to the others, but it is to itself and to a VM that restarted in between. After an outage of the store in which all registrations lapse, all VMs are newcomers to themselves and refuse each other.

Change: - A VM does not grant at the full rate while its first view is younger than 9 s, or while a newcomer that the others may know ranks before it; it has the shares of the VMs that asked it within the last second. - A newcomer that is asked grants the shares of its askers instead of NotOwner. Each asker brings one request beyond the starting credit, as in the fallback. - A VM that does not share the limit (ingress) adds no share. - While a view holds no dispatcher, the last owners are asked over the links that exist.

--- a/libs/gateway/src/credit_gate.cpp
+++ b/libs/gateway/src/credit_gate.cpp
@@ -158,8 +158,9 @@
         return {};
     const quota::CreditLedger::Reach reach { reachableFraction(now), traffic_.dispatchers().size(),
         [this, now](const VmId& vm) { return isReachable(vm, now); } };
-    return ledger_.take(
-        { traffic_.settings().vm, asker, customer.id, isLate }, limitOf(customer), owners_, reach, now);
+    const bool hasShare = traffic_.dispatchers().contains(asker);
+    return ledger_.take({ traffic_.settings().vm, asker, customer.id, isLate, hasShare }, limitOf(customer),
+        owners_, reach, now);
 }
 
 bool CreditGate::mayHoldCredit(TimePoint now) const
@@ -265,7 +266,10 @@
 void CreditGate::updateLinks(TimePoint now)
 {
     const bool needsLinks = hasLimits() && (hooks_.isDispatching() || now - lastRequestAt_ < linkIdleTime);
-    links_.setDispatchers(needsLinks ? members_.otherDispatchers() : std::vector<Dispatcher> {}, now);
+    // If all registrations have lapsed, in an outage of the store, the last known dispatchers are still
+    // there.
+    if (!needsLinks || !members_.registeredDispatchers().empty())
+        links_.setDispatchers(needsLinks ? members_.otherDispatchers() : std::vector<Dispatcher> {}, now);
     links_.tick(now);
     for (const auto& link : links_.links()) {
         if (link->isConnected() && now - link->lastReceivedAt() >= queryInterval)
--- a/libs/quota/include/quota/credit_ledger.h
+++ b/libs/quota/include/quota/credit_ledger.h
@@ -6,8 +6,8 @@
 #include "quota/token_bucket.h"
 
 #include <functional>
+#include <map>
 #include <optional>
-#include <set>
 #include <unordered_map>
 
 namespace banyancroft::quota {
@@ -37,6 +37,9 @@
     /** The request can no longer meet its latency objective. It gets credit only while the customer has some
      * left, so that of a customer that is over its limit those requests run that are answered in time. */
     bool isLate = false;
+    /** The asker is one of the VMs that share the limit. Another one adds nothing to what a VM grants that
+     * only has the shares of its askers. */
+    bool hasShare = true;
 };
 
 /**
@@ -70,8 +73,9 @@
      *
      * A VM that is not the owner stands in for it while it can reach neither the owner nor the VMs that come
      * before it. So the credit of a side that is cut off from the owner is in one place, too. A VM that has
-     * just become the owner has the shares of those VMs that have asked it; the others may still ask the
-     * previous owner.
+     * just become the owner has the shares of those VMs that have asked it recently; the others may still ask
+     * the previous owner. So has a VM that is a newcomer to itself only, since its registration had lapsed:
+     * those that ask it use their shares nowhere else.
      */
     CreditResult take(const CreditQuery& query, const RateLimit& limit, const OwnerSet& owners,
         const Reach& reach, TimePoint now);
@@ -91,12 +95,18 @@
         TimePoint nextReturn {};
         TimePoint usedAt {};
         bool isOwned = false;
-        /** VMs that have asked before this one could be sure that nobody asks the previous owner. */
-        std::set<VmId> earlyAskers;
+        /** VMs that have asked while this one could not be sure that nobody asks another VM, with the time of
+         * their last question. */
+        std::map<VmId, TimePoint> earlyAskers;
     };
 
     Account& account(const CustomerId& customer, const RateLimit& limit, std::optional<TimePoint> ownedFrom,
         TimePoint now);
+    /** Notes a question that arrives while this VM only has the shares of its askers. Each VM brings the one
+     * request that it could otherwise use on its own, as far as the starting credit does not cover it.
+     * @return fraction of the VMs sharing the limit that have asked recently */
+    double addEarlyAsker(Account& account, const CreditQuery& query, const RateLimit& limit,
+        std::size_t sharers, TimePoint now);
     Duration nextReturn(Account& account, double perSecond, TimePoint now) const;
 
     LimitBounds bounds_;
--- a/libs/quota/include/quota/owner_set.h
+++ b/libs/quota/include/quota/owner_set.h
@@ -34,7 +34,10 @@
  * never has two owners that grant credit:
  * - a VM that has registered is an owner only some time later, when all others have stopped to ask the
  * previous one;
- * - a VM that has become the owner of a customer grants no credit for `viewSkew`.
+ * - a VM that has become the owner of a customer grants no credit at the full rate for `viewSkew`;
+ * - a VM whose first view is young has not seen whose registration had lapsed before, and may rank itself
+ * before a VM that is no newcomer to the others. It does not grant credit at the full rate until it ranks
+ * such a VM like the others.
  *
  * Not thread-safe; does no I/O.
  */
@@ -54,18 +57,27 @@
     void reset();
 
     /** The owner of the customer, then the VMs that stand in for it, in this order, for VMs that cannot reach
-     * it. */
+     * it. If all registrations have lapsed, the VMs that were owners last. */
     std::vector<VmId> ranked(const CustomerId& customer) const;
     /** Empty while no owner is known. */
     std::optional<VmId> owner(const CustomerId& customer) const;
-    /** Time from which this VM may grant credit of the customer; empty if it is not the owner. */
+    /** Time from which this VM may grant credit of the customer at the full rate; empty if it is not the
+     * owner.
+     */
     std::optional<TimePoint> grantsFrom(const CustomerId& customer) const;
+    /** Time from which this VM ranks the VMs before itself like the others, as far as it knows now. */
+    TimePoint settledFrom(const CustomerId& customer) const;
+    /** True if this VM is not an owner yet in its own view, or no more, since it has registered only recently
+     * or its registration has lapsed. Others may regard it as an owner nevertheless. */
+    bool isNewcomer(TimePoint now) const;
 
 private:
     struct Member {
         TimePoint ownsFrom {};
         /** Time at which the registration ended; TimePoint::max() while it lasts. */
         TimePoint removedAt = TimePoint::max();
+        /** Others may have known this VM before its registration lapsed, so it may be an owner to them. */
+        bool mayBeKnown = false;
     };
     /** Owners from a point in time on. */
     struct Epoch {
@@ -80,6 +92,8 @@
     std::map<VmId, Member> members_;
     /** Oldest first; the last one is in force. */
     std::deque<Epoch> epochs_;
+    /** Time from which a VM that appears is a newcomer to all. */
+    TimePoint newcomersFrom_ = TimePoint::max();
     bool wasReset_ = false;
 };
 
--- a/libs/quota/src/credit_ledger.cpp
+++ b/libs/quota/src/credit_ledger.cpp
@@ -16,6 +16,12 @@
 /** A stand-in that was not asked for this long may have been replaced by the owner meanwhile. */
 constexpr Duration maxStandInPause = std::chrono::seconds(1);
 
+/** The share of a VM that has not asked for this long may be in use elsewhere. */
+constexpr Duration maxAskerPause = std::chrono::seconds(1);
+
+/** Part of the tolerance that the requests which VMs may use on their own may reach. */
+constexpr double maxBurstFraction = 0.5;
+
 /** Fraction of the burst that late requests leave to others. */
 constexpr double lateReserve = 0.25;
 
@@ -51,20 +57,20 @@
 {
     const auto& customer = query.customer;
     const auto grantsFrom = owners.grantsFrom(customer);
+    // Others may take a newcomer for the owner. An asker uses its share nowhere else meanwhile.
+    const bool isPool = !grantsFrom && owners.isNewcomer(now);
     if (!grantsFrom) {
         const auto ranked = owners.ranked(customer);
         const auto own = std::find(ranked.begin(), ranked.end(), query.holder);
-        if (own == ranked.end() || std::any_of(ranked.begin(), own, reach.isReachable))
+        const bool standsIn = own != ranked.end() && std::none_of(ranked.begin(), own, reach.isReachable);
+        if (!standsIn && !(isPool && query.asker != query.holder))
             return {};
     }
-    const bool isEarly = grantsFrom && now < *grantsFrom;
+    const bool isEarly = isPool || now < grantsFrom.value_or(owners.settledFrom(customer));
     auto& held = account(customer, limit, grantsFrom, now);
     double fraction = std::clamp(reach.fraction, 0.0, 1.0);
     if (isEarly) {
-        held.earlyAskers.insert(query.asker);
-        const auto sharers = std::max<std::size_t>(reach.sharers, 1);
-        fraction
-            = std::min(fraction, static_cast<double>(held.earlyAskers.size()) / static_cast<double>(sharers));
+        fraction = std::min(fraction, addEarlyAsker(held, query, limit, reach.sharers, now));
     } else {
         held.earlyAskers.clear();
     }
@@ -77,6 +83,20 @@
     return { CreditAnswer::OverLimit, nextReturn(held, perSecond, now) };
 }
 
+double CreditLedger::addEarlyAsker(
+    Account& account, const CreditQuery& query, const RateLimit& limit, std::size_t sharers, TimePoint now)
+{
+    const auto all = static_cast<double>(std::max<std::size_t>(sharers, 1));
+    auto& askers = account.earlyAskers;
+    if (query.hasShare && askers.insert_or_assign(query.asker, now).second
+        && static_cast<double>(askers.size()) > startingCredit(limit, bounds_)
+        && all <= maxBurstFraction * tolerance(limit, bounds_))
+        account.bucket.giveBack();
+    const auto active = std::count_if(askers.begin(), askers.end(),
+        [now](const auto& entry) { return now - entry.second < maxAskerPause; });
+    return static_cast<double>(active) / all;
+}
+
 Duration CreditLedger::nextReturn(Account& account, double perSecond, TimePoint now) const
 {
     if (perSecond <= 0)
--- a/libs/quota/src/owner_set.cpp
+++ b/libs/quota/src/owner_set.cpp
@@ -30,6 +30,7 @@
 {
     members_.clear();
     epochs_.clear();
+    newcomersFrom_ = TimePoint::max();
     wasReset_ = true;
 }
 
@@ -39,19 +40,32 @@
     if (!registered.contains(self_))
         registeredAgain();
     const auto maturity = maturityFactor * viewSkew_;
+    const bool isFirstView = epochs_.empty();
+    // The others may have learnt of a lapse a skew after this VM's first view, and of the new registration a
+    // skew before this VM does.
+    if (isFirstView)
+        newcomersFrom_ = now + reregistrationTime + 2 * viewSkew_;
     for (const auto& vm : registered) {
         // All that the first view holds registered before this VM could ask anyone.
-        const bool isKnown = epochs_.empty() && !(vm == self_ && wasReset_);
-        const Member newMember { isKnown ? now : now + maturity };
-        members_.try_emplace(vm, newMember).first->second.removedAt = TimePoint::max();
+        const bool isKnown = isFirstView && !(vm == self_ && wasReset_);
+        Member newMember { isKnown ? now : now + maturity };
+        newMember.mayBeKnown = !isKnown && now < newcomersFrom_;
+        const auto [known, isNew] = members_.try_emplace(vm, newMember);
+        if (!isNew && now - known->second.removedAt >= reregistrationTime) {
+            newMember.mayBeKnown = true;
+            known->second = newMember;
+        }
+        known->second.removedAt = TimePoint::max();
     }
     for (auto& [vm, member] : members_) {
         if (!registered.contains(vm) && member.removedAt == TimePoint::max())
             member.removedAt = now;
     }
-    std::erase_if(members_, [now](const auto& entry) {
+    // A view may be as old as maxShareAge after a cut, so this VM may learn late that another one is back.
+    const auto memory = reregistrationTime + maxShareAge + 2 * viewSkew_;
+    std::erase_if(members_, [&](const auto& entry) {
         const auto removedAt = entry.second.removedAt;
-        return removedAt != TimePoint::max() && now - removedAt >= reregistrationTime;
+        return removedAt != TimePoint::max() && now - removedAt >= memory;
     });
     std::set<VmId> owners;
     for (const auto& [vm, member] : members_) {
@@ -80,10 +94,14 @@
 
 std::vector<VmId> OwnerSet::ranked(const CustomerId& customer) const
 {
-    if (epochs_.empty())
+    // If all registrations have lapsed, in an outage of the store, the last owners are still there to be
+    // asked.
+    const auto epoch = std::find_if(
+        epochs_.rbegin(), epochs_.rend(), [](const auto& known) { return !known.owners.empty(); });
+    if (epoch == epochs_.rend())
         return {};
     std::vector<std::pair<std::uint64_t, VmId>> weighted;
-    for (const auto& vm : epochs_.back().owners)
+    for (const auto& vm : epoch->owners)
         weighted.emplace_back(rendezvousWeight(vm, customer.view()), vm);
     std::sort(weighted.begin(), weighted.end(), std::greater<>());
     std::vector<VmId> vms;
@@ -106,7 +124,24 @@
             break;
         since = epoch->since;
     }
-    return since ? std::optional(*since + viewSkew_) : std::nullopt;
+    return since ? std::optional(std::max(*since + viewSkew_, settledFrom(customer))) : std::nullopt;
+}
+
+TimePoint OwnerSet::settledFrom(const CustomerId& customer) const
+{
+    auto from = newcomersFrom_;
+    const auto own = rendezvousWeight(self_, customer.view());
+    for (const auto& [vm, member] : members_) {
+        if (member.mayBeKnown && vm != self_ && rendezvousWeight(vm, customer.view()) >= own)
+            from = std::max(from, member.ownsFrom);
+    }
+    return from;
+}
+
+bool OwnerSet::isNewcomer(TimePoint now) const
+{
+    const auto self = members_.find(self_);
+    return !epochs_.empty() && (self == members_.end() || now < self->second.ownsFrom);
 }
 
 } // namespace banyancroft::quota
--- a/libs/quota/tests/test_fleet_limit.cpp
+++ b/libs/quota/tests/test_fleet_limit.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <vector>
@@ -67,6 +69,8 @@
         return isRunning(from) && isRunning(to) && side[from] == side[to];
     }
     bool isRunning(int vm) const { return now >= downUntil[vm]; }
+    /** Side 0 reaches the store unless that is away. */
+    bool reachesStore(int vm) const { return isRunning(vm) && side[vm] == 0 && now >= storeAwayUntil; }
 
     /** VMs whose lease lasts at `at`, as the store sees it. */
     std::set<VmId> registeredAt(TimePoint at) const
@@ -83,9 +87,9 @@
     {
         std::set<VmId> registered;
         for (int i = 0; i < vmCount; ++i) {
-            // Side 0 reaches the store. A VM lists the store before it registers.
+            // A VM lists the store before it registers.
             const bool hasLapsed = now - renewedAt[i] >= leaseTime;
-            if (isRunning(i) && side[i] == 0 && (hasView(i) || !hasLapsed)) {
+            if (reachesStore(i) && (hasView(i) || !hasLapsed)) {
                 renewedAt[i] = now;
                 if (hasLapsed)
                     vms[i]->owners.registeredAgain();
@@ -98,7 +102,7 @@
         for (int i = 0; i < vmCount; ++i) {
             if (!isRunning(i))
                 continue;
-            if (side[i] == 0) {
+            if (reachesStore(i)) {
                 auto at = now - vms[i]->viewDelay;
                 viewAt[i] = std::max(viewAt[i], at);
             }
@@ -115,13 +119,27 @@
                 vms[i]->owners.update(registeredAt(viewAt[i]), now);
             }
         }
-        for (int i = 0; i < vmCount; ++i) {
-            while (isRunning(i) && takes(i))
-                granted.push_back(now);
-        }
+        for (int i = 0; i < vmCount; ++i)
+            ask(i, demand(i));
         now += step;
     }
 
+    /** Asks for credit until a request is refused. */
+    void ask(int vm, int requests)
+    {
+        for (int i = 0; i < requests && isRunning(vm); ++i) {
+            if (!takes(vm))
+                return;
+            granted.push_back(now);
+        }
+    }
+
+    std::size_t grantedSince(TimePoint since) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(granted.begin(), granted.end(), [since](TimePoint at) { return at >= since; }));
+    }
+
     void restart(int vm, Duration down)
     {
         vms[vm] = std::make_unique<Vm>(ids[vm]);
@@ -148,6 +166,9 @@
     std::array<TimePoint, vmCount> downUntil {};
     std::array<TimePoint, vmCount> viewAt {};
     std::array<int, vmCount> side {};
+    TimePoint storeAwayUntil {};
+    /** Requests of the customer that a VM has to run in a step. */
+    std::function<int(int vm)> demand = [](int) { return std::numeric_limits<int>::max(); };
     std::vector<std::pair<TimePoint, std::set<VmId>>> history;
     std::vector<TimePoint> granted;
 
@@ -252,3 +273,63 @@
     // Most of the limit is used, or the check would be void.
     RC_ASSERT(fleet.granted.size() > 60 * limit.perSecond / 3);
 }
+
+/**
+ * As above, with outages of the store as well, in most of which all registrations lapse while the VMs stay in
+ * contact. Guards against VMs that grant credit twice when all register again.
+ */
+RC_BOOST_PROP(limitHoldsInEveryWindowAroundOutagesOfTheStore, ())
+{
+    Fleet fleet;
+    for (const auto& vm : fleet.vms)
+        vm->viewDelay = std::chrono::milliseconds(*rc::gen::inRange(0, 2000));
+    const auto end = start + 60s;
+    auto nextEvent = start + 10s;
+    while (fleet.now < end) {
+        if (fleet.now >= nextEvent) {
+            const auto kind = *rc::gen::inRange(0, 4);
+            const auto vm = *rc::gen::inRange(0, vmCount);
+            const auto length = std::chrono::milliseconds(*rc::gen::inRange(2000, 12000));
+            if (kind == 0)
+                fleet.restart(vm, length);
+            if (kind == 1)
+                fleet.side[vm] = std::count(fleet.side.begin(), fleet.side.end(), 1) < vmCount / 2 ? 1 : 0;
+            if (kind == 2)
+                fleet.side.fill(0);
+            // Not covered: a second outage before all VMs have learnt that the others are registered again.
+            // Each VM takes itself for the only one then.
+            if (kind == 3 && fleet.now - fleet.storeAwayUntil >= viewSkew)
+                fleet.storeAwayUntil = fleet.now + length;
+            nextEvent = fleet.now + std::chrono::milliseconds(*rc::gen::inRange(1000, 12000));
+        }
+        fleet.runStep();
+    }
+    const auto allowed = limit.perSecond * 5 + limit.burst + tolerance(limit, bounds);
+    RC_LOG("worst window: " + std::to_string(fleet.worstWindow()));
+    RC_ASSERT(static_cast<double>(fleet.worstWindow()) <= allowed);
+}
+
+// Guards against callers within their limit that are refused after an outage of the store in which all
+// registrations have lapsed while the VMs stayed in contact.
+BOOST_AUTO_TEST_CASE(customerIsServedAfterAllRegistrationsHaveLapsed)
+{
+    for (const Duration viewDelay : { Duration(0ms), Duration(400ms), Duration(1500ms) }) {
+        Fleet fleet;
+        for (const auto& vm : fleet.vms)
+            vm->viewDelay = viewDelay;
+        // Three quarters of the limit, in groups of three requests at one VM after the other.
+        int steps = 0;
+        fleet.demand = [&](int vm) { return steps % 4 == 0 && steps / 4 % vmCount == vm ? 3 : 0; };
+        const auto run = [&](Duration length) {
+            const auto from = fleet.now;
+            for (; fleet.now < from + length; ++steps)
+                fleet.runStep();
+            return static_cast<double>(fleet.grantedSince(from));
+        };
+        run(20s);
+        fleet.storeAwayUntil = fleet.now + 8s;
+        const double asked = 15 * 8;
+        BOOST_TEST(run(8s) >= 0.9 * asked);
+        BOOST_TEST(run(8s) >= 0.9 * asked);
+    }
+}
--- a/libs/quota/tests/test_rate_limits.cpp
+++ b/libs/quota/tests/test_rate_limits.cpp
@@ -291,6 +291,36 @@
     BOOST_TEST(takeWhileEarly(self, start + 21s + viewSkew) == 20);
 }
 
+// Guards against VMs without an owner after all registrations have lapsed, and against a newcomer that grants
+// more than the shares of those that ask it.
+BOOST_AUTO_TEST_CASE(newcomerHasTheSharesOfThoseThatAskIt)
+{
+    const auto vms = vmSet(4);
+    const auto self = ownerIn(vms);
+    OwnerSet owners(self, viewSkew);
+    owners.update(vms, start);
+    owners.update({}, start + 60s);
+    BOOST_TEST((owners.ranked(customer).size() == 4U));
+    owners.update(vms, start + 61s);
+    CreditLedger ledger(bounds);
+    CreditLedger::Reach reach;
+    reach.sharers = 4;
+    const auto takeAs = [&](const VmId& asker, bool hasShare, TimePoint now) {
+        int granted = 0;
+        while (ledger.take({ self, asker, customer, false, hasShare }, limit, owners, reach, now).answer
+            == CreditAnswer::Granted)
+            ++granted;
+        return granted;
+    };
+    const VmId ingress("ingress");
+    BOOST_TEST(takeAs(ingress, false, start + 61s) <= tolerance(limit, bounds) / 8);
+    BOOST_TEST(takeAs(ingress, false, start + 62s) == 0);
+    takeAs(VmId("first"), true, start + 62s);
+    BOOST_TEST(takeAs(VmId("first"), true, start + 62500ms) == 2);
+    takeAs(VmId("second"), true, start + 62500ms);
+    BOOST_TEST(takeAs(VmId("second"), true, start + 63s) == 5);
+}
+
 // Guards against VMs that go on to start requests of a customer that is over its limit before they are told
 // so.
 BOOST_AUTO_TEST_CASE(standingCreditIsGoneForAWindowWithoutAGrant)
