Notice a restored store by a missing claim as well

Cause: the claims that the other daemons write back raise the revision of a restored store, so a daemon that asks it tens of milliseconds later may see no lower revision and would not write back its own claims. Change: Claims::revisionSeen() reads the newest claim of the last minute and takes its absence for a restore. This is one read for each renewal of the lease of a daemon that had submits in the last minute.

--- a/libs/claims/include/claims/claims.h
+++ b/libs/claims/include/claims/claims.h
@@ -91,9 +91,10 @@
  * its key are answered Unknown, since running the request again could run it twice.
  *
  * A store that is restored from an older copy loses claims that it had confirmed. The restore is noticed when
- * an answer has a lower revision than was known before its call. From then on, keys are refused for
- * Hooks::restoreGrace, in which every daemon writes back the claims that it held in the last minute. A
- * restore that loses fewer revisions than were written since this daemon's last answer is not noticed.
+ * an answer has a lower revision than was known before its call, or when the newest claim of this object is
+ * missing, which revisionSeen() checks. From then on, keys are refused for Hooks::restoreGrace, in which
+ * every daemon writes back the claims that it held in the last minute. A restore that loses fewer revisions
+ * than were written since this daemon's last answer is not noticed.
  *
  * Used only on the control thread, like the store; callbacks run there. The store and whatever the hooks
  * refer to must outlive it.
@@ -133,8 +134,8 @@
     void finish(const HeldClaim& held, Outcome outcome, std::string result, std::function<void()> onRecorded);
 
     /**
-     * Tells the revision that an answer to a call of another client of the store gave. A lower one than is
-     * known makes this object check the store.
+     * Tells the revision that an answer to a call of another client of the store gave. Makes this object
+     * check the store if it has held claims in the last minute or the revision is lower than a known one.
      */
     void revisionSeen(store::Revision revision);
 
--- a/libs/claims/src/claims.cpp
+++ b/libs/claims/src/claims.cpp
@@ -94,16 +94,25 @@
 
     void revisionSeen(store::Revision revision)
     {
-        if (!revision)
+        if (!revision || checkingStore_)
             return;
+        const auto* newest = newestRetained();
         if (revision >= newestRevision_) {
             newestRevision_ = revision;
-            return;
+            if (!newest)
+                return;
         }
-        // The answer may only have been overtaken by another one, so the store is asked again.
-        if (!std::exchange(checkingRevision_, true))
-            get(keyPrefix_,
-                [self = shared_from_this()](const auto&, const Error&) { self->checkingRevision_ = false; });
+        // A lower revision may belong to an answer that was overtaken, and a higher one may be that of a
+        // restored store with new writes. The store is asked for the claim that it would have lost first.
+        checkingStore_ = true;
+        get(newest ? *newest : keyPrefix_,
+            [self = shared_from_this(), known = known(), key = newest ? *newest : std::string()](
+                const std::optional<store::Listing>& listing, const Error&) {
+                self->checkingStore_ = false;
+                if (listing && listing->entries.empty() && known.restores == self->restores_
+                    && self->retained_.contains(key))
+                    self->handleRestore(listing->revision);
+            });
     }
 
     std::size_t unrecorded() const { return unrecorded_; }
@@ -165,6 +174,13 @@
             newestRevision_ = std::max(newestRevision_, revision);
             return;
         }
+        handleRestore(revision);
+    }
+
+    void handleRestore(store::Revision revision)
+    {
+        if (stopped_)
+            return;
         ++restores_;
         newestRevision_ = revision;
         uncertainUntil_ = hooks_.now() + hooks_.restoreGrace;
@@ -191,6 +207,15 @@
         dropOldRetained();
     }
 
+    /** Key of the claim that was retained last; null if none is retained. */
+    const std::string* newestRetained()
+    {
+        dropOldRetained();
+        const auto found = std::find_if(retainedOrder_.rbegin(), retainedOrder_.rend(),
+            [this](const auto& entry) { return retained_.contains(entry.second); });
+        return found == retainedOrder_.rend() ? nullptr : &found->second;
+    }
+
     void dropOldRetained()
     {
         const TimePoint oldest = hooks_.now() - retentionTime;
@@ -358,7 +383,7 @@
     std::size_t unrecorded_ = 0;
     bool stopped_ = false;
     store::Revision newestRevision_;
-    bool checkingRevision_ = false;
+    bool checkingStore_ = false;
     /** Number of times that the store was found to have returned to an older state. */
     std::uint64_t restores_ = 0;
     TimePoint uncertainUntil_ {};
--- a/libs/claims/tests/test_claims.cpp
+++ b/libs/claims/tests/test_claims.cpp
@@ -233,3 +233,19 @@
     fixture.runStore();
     BOOST_TEST((kindOf(fixture.claim(0, "other")) == Kind::Held));
 }
+
+// Other daemons write to a restored store before this one asks it, so its revision may have passed the last
+// one that this daemon knew. The daemon must write its claims back nevertheless.
+BOOST_AUTO_TEST_CASE(restoreIsNoticedAfterTheRevisionHasRisenAgain)
+{
+    ClaimsFixture fixture(2);
+    const auto snapshot = fixture.store().snapshot();
+    const auto revision = fixture.store().revision();
+    fixture.claim(0, "c-17");
+    fixture.store().restore(snapshot, revision);
+    for (const auto* key : { "a", "b", "c" })
+        fixture.store().put(key, "");
+    fixture.claims(0).revisionSeen(fixture.store().revision());
+    fixture.runStore();
+    BOOST_TEST((kindOf(fixture.claim(1, "c-17")) == Kind::Unknown));
+}
