Grant the full rate after a restart until a returning VM appears

Cause: an owner that restarted had only the shares of its askers for 9 s.

Change: the restriction begins when a newcomer that the others may know appears before the VM, instead of with the first view. For at most the view skew, the VM may grant the full rate while others already ask the returning one.

--- a/libs/quota/include/quota/owner_set.h
+++ b/libs/quota/include/quota/owner_set.h
@@ -36,8 +36,8 @@
  * previous one;
  * - a VM that has become the owner of a customer grants no credit at the full rate for `viewSkew`;
  * - a VM whose first view is young has not seen whose registration had lapsed before, and may rank itself
- * before a VM that is no newcomer to the others. It does not grant credit at the full rate until it ranks
- * such a VM like the others.
+ * before a VM that is no newcomer to the others. From when such a VM appears until it ranks it like the
+ * others, it does not grant credit at the full rate.
  *
  * Not thread-safe; does no I/O.
  */
--- a/libs/quota/src/owner_set.cpp
+++ b/libs/quota/src/owner_set.cpp
@@ -129,7 +129,7 @@
 
 TimePoint OwnerSet::settledFrom(const CustomerId& customer) const
 {
-    auto from = newcomersFrom_;
+    TimePoint from {};
     const auto own = rendezvousWeight(self_, customer.view());
     for (const auto& [vm, member] : members_) {
         if (member.mayBeKnown && vm != self_ && rendezvousWeight(vm, customer.view()) >= own)
