Use reported queues only where answers confirm them

Cause: a replica with false load reports (a queue that does not exist) could end requests that it would have served, for 100 ms after each answer.

Change: a report of a queue ends requests only after an answer to a request that was sent after an earlier report came as late as that queue implied; one answer that comes earlier discards the reports of this run of the replica. The test of queues through the decision now confirms the reports first; its other checks are unchanged.

Result: falseReportsOfQueuesEndNoRequest serves 20 of 20 requests; requestIsRefusedWhileTheQueueIsKnownToBeTooLong gets 503 for the request that the queue cannot serve, which the replica does not receive. Run: the tests of upstreams and dispatch, gateway_test_early_refusal, gateway_test_gateway, gateway_test_replica_statements; all pass.

--- a/libs/gateway/tests/test_early_refusal.cpp
+++ b/libs/gateway/tests/test_early_refusal.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 using namespace banyancroft;
 using namespace banyancroft::gateway;
 using namespace std::chrono_literals;
@@ -133,16 +135,30 @@
 // long.
 BOOST_AUTO_TEST_CASE(onlyCurrentReportsOfLongQueuesEndRequests)
 {
+    // Answers a request that was sent at `sentAt` with a report of `waiting` requests.
+    const auto answer = [](auto& health, TimePoint sentAt, TimePoint now, unsigned waiting) {
+        health.loadReported({ 3, waiting, 3 }, now);
+        health.answered(sentAt, now, 20ms, 3);
+    };
     upstreams::UpstreamHealth health;
     health.sent(start);
-    const auto now = start + 20ms;
-    health.loadReported({ 3, 600, 3 }, now);
-    BOOST_TEST(!health.leastQueueDelay(3, 0ms, now).has_value());
-    health.answered(start, now, 20ms, 3);
-    // Half of 600 requests of at least 18 ms each on 3 slots.
+    answer(health, start, start + 20ms, 0);
+    health.sent(start + 20ms);
+    answer(health, start + 20ms, start + 40ms, 30);
+    BOOST_TEST(!health.leastQueueDelay(3, 2ms, start + 40ms).has_value());
+    auto disproved = health;
+    // Half of 30 requests of 20 ms on 3 slots take 100 ms.
+    health.sent(start + 50ms);
+    answer(health, start + 50ms, start + 150ms, 600);
+    const auto now = start + 150ms;
     BOOST_TEST((health.leastQueueDelay(3, 2ms, now) == 1800ms));
     BOOST_TEST((health.leastQueueDelay(3, 30ms, now) == 0ms));
     BOOST_TEST(!health.leastQueueDelay(3, 0ms, now + 101ms).has_value());
+    disproved.sent(start + 50ms);
+    answer(disproved, start + 50ms, start + 80ms, 600);
+    disproved.sent(start + 90ms);
+    answer(disproved, start + 90ms, start + 3000ms, 600);
+    BOOST_TEST(!disproved.leastQueueDelay(3, 2ms, start + 3000ms).has_value());
     dispatch::ReplicaOutlook replica;
     replica.leastDelay = 1800ms;
     dispatch::ShardOutlook shard { { replica }, false, std::nullopt };
@@ -190,3 +206,66 @@
     });
     BOOST_TEST(metrics.body.find("banyancroft_gateway_ended_early_total 2") != std::string::npos);
 }
+
+// Guards against refusals because of a replica whose load reports are false.
+BOOST_AUTO_TEST_CASE(falseReportsOfQueuesEndNoRequest)
+{
+    GatewayFixture fixture;
+    fixture.dialect.parseLoad = [](std::string_view) {
+        return std::optional(upstreams::ReportedLoad { 3, 100000, 3 });
+    };
+    fixture.replica("ledger", "r1", [](const http::RequestHead& head, const std::string&) {
+        std::this_thread::sleep_for(10ms);
+        auto response = GatewayFixture::signedResponse(head, "sig", "data");
+        return FakeResponse { response.insert(response.find("\r\n") + 2, "Load: x\r\n") };
+    });
+    fixture.configure(configurationOf({ singleRoute(false) }));
+    const auto served = fixture.runCaller<int>([&] {
+        fixture.waitUntilReady();
+        Caller caller(fixture.settings.callers.port);
+        int count = 0;
+        for (int i = 0; i < 20; ++i)
+            count
+                += caller.call(GatewayFixture::request("/credit/1", "id-" + std::to_string(i))).status == 200;
+        return count;
+    });
+    BOOST_TEST(served == 20);
+}
+
+// Guards against sends that are known to wait in the replica's queue beyond the deadline, and against callers
+// that are kept away when the queue is no longer known.
+BOOST_AUTO_TEST_CASE(requestIsRefusedWhileTheQueueIsKnownToBeTooLong)
+{
+    bool wasRefused = false;
+    // On a busy machine a report may be too old for the request that follows.
+    for (int attempt = 0; attempt < 10 && !wasRefused; ++attempt) {
+        GatewayFixture fixture;
+        int answers = 0;
+        fixture.dialect.parseLoad = [&](std::string_view) {
+            return std::optional(upstreams::ReportedLoad { 3, answers < 3 ? 30U : 100000U, 3 });
+        };
+        fixture.replica("ledger", "r1", [&](const http::RequestHead& head, const std::string&) {
+            std::this_thread::sleep_for(++answers < 3 ? 20ms : 200ms);
+            auto response = GatewayFixture::signedResponse(head, "sig", "data");
+            return FakeResponse { response.insert(response.find("\r\n") + 2, "Load: x\r\n") };
+        });
+        fixture.configure(configurationOf({ singleRoute(false) }));
+        std::vector<CallerResponse> responses;
+        fixture.runCaller<bool>([&] {
+            fixture.waitUntilReady();
+            Caller caller(fixture.settings.callers.port);
+            for (int i = 0; i < 5; ++i) {
+                std::this_thread::sleep_for(i == 4 ? 200ms : 0ms);
+                responses.push_back(
+                    caller.call(GatewayFixture::request("/credit/1", "id-" + std::to_string(i))));
+            }
+            return true;
+        });
+        BOOST_TEST(responses.back().status == 200U);
+        wasRefused = responses[3].status == 503U;
+        // At least half of the queue on 3 slots, with some milliseconds for each request.
+        BOOST_TEST((!wasRefused || std::stod(responses[3].fields.at("Retry-After")) > 5));
+        BOOST_TEST((!wasRefused || answers == 4));
+    }
+    BOOST_TEST(wasRefused);
+}
--- a/libs/upstreams/include/upstreams/health.h
+++ b/libs/upstreams/include/upstreams/health.h
@@ -82,7 +82,8 @@
     Duration expectedDelay(unsigned slots, Duration typicalLatency, TimePoint now) const;
     /**
      * Lower bound of the time that a request waits in the replica's queue, from a current load report and the
-     * shortest answer time of this run of the replica; empty without both.
+     * shortest answer time of this run of the replica; empty without both. Also empty unless an answer was
+     * as late as the reported queue implied, or once an answer was earlier: then the reports are false.
      * @param networkDelay part of the answer time that is not work of the replica
      */
     std::optional<Duration> leastQueueDelay(unsigned slots, Duration networkDelay, TimePoint now) const;
@@ -111,10 +112,16 @@
         TimePoint sentAt;
         /** Requests of this VM in progress at the replica, with this one, when it was sent. */
         unsigned inProgress;
+        /** End of the queue that the latest report implied when it was sent; before `sentAt` if there was
+         * none. */
+        TimePoint queueClearAt;
     };
 
-    /** Returns the number of requests of this VM that were in progress when the request was sent. */
-    unsigned removeOutstanding(TimePoint sentAt);
+    Outstanding removeOutstanding(TimePoint sentAt);
+    /** Lower bound of the time that the reported queue takes, if each request takes `work`. */
+    Duration reportedQueueTime(unsigned slots, Duration work) const;
+    /** Compares an answer with the queue that was reported before it was sent. */
+    void checkQueueReport(const Outstanding& request, TimePoint now);
     /** Time since the oldest unanswered request was sent or the last response arrived, whichever is later;
      * zero without unanswered requests. */
     Duration unansweredFor(TimePoint now) const;
@@ -138,6 +145,10 @@
     TimePoint lastResponseAt_ {};
     /** Shortest time to an answer so far. */
     std::optional<Duration> leastLatency_;
+    /** End of the queue of the latest report, according to leastQueueDelay() without a network delay. */
+    TimePoint queueClearAt_ {};
+    bool queueReportsConfirmed_ = false;
+    bool queueReportsDisproved_ = false;
     TimePoint nextProbe_ {};
     CapacityEstimate capacity_;
 };
--- a/libs/upstreams/src/health.cpp
+++ b/libs/upstreams/src/health.cpp
@@ -62,22 +62,42 @@
     return value_ * std::exp(-seconds(now - observedAt_) / observationDecaySeconds);
 }
 
-void UpstreamHealth::sent(TimePoint now) { outstanding_.push_back({ now, outstanding() + 1 }); }
+void UpstreamHealth::sent(TimePoint now)
+{
+    outstanding_.push_back({ now, outstanding() + 1, queueClearAt_ });
+}
 
-unsigned UpstreamHealth::removeOutstanding(TimePoint sentAt)
+UpstreamHealth::Outstanding UpstreamHealth::removeOutstanding(TimePoint sentAt)
 {
     const auto found = std::find_if(outstanding_.begin(), outstanding_.end(),
         [sentAt](const Outstanding& request) { return request.sentAt == sentAt; });
     if (found == outstanding_.end())
-        return 1;
-    const auto inProgress = found->inProgress;
+        return { sentAt, 1, {} };
+    const auto request = *found;
     outstanding_.erase(found);
-    return inProgress;
+    return request;
+}
+
+Duration UpstreamHealth::reportedQueueTime(unsigned slots, Duration work) const
+{
+    const auto concurrent = std::max({ 1U, slots, lastReport_->slots, lastReport_->running });
+    return scaled(work, certainQueueShare * lastReport_->waiting / concurrent);
+}
+
+void UpstreamHealth::checkQueueReport(const Outstanding& request, TimePoint now)
+{
+    if (request.queueClearAt <= request.sentAt)
+        return;
+    const bool wasEarly = now < request.queueClearAt;
+    queueReportsDisproved_ = queueReportsDisproved_ || wasEarly;
+    queueReportsConfirmed_ = queueReportsConfirmed_ || !wasEarly;
 }
 
 void UpstreamHealth::answered(TimePoint sentAt, TimePoint now, Duration typicalLatency, unsigned slots)
 {
-    const double inProgress = removeOutstanding(sentAt) + otherVmsLoad(now);
+    const auto request = removeOutstanding(sentAt);
+    checkQueueReport(request, now);
+    const double inProgress = request.inProgress + otherVmsLoad(now);
     noResponseStreak_ = 0;
     lastResponseAt_ = now;
     leastLatency_ = std::min(leastLatency_.value_or(Duration::max()), now - sentAt);
@@ -135,6 +155,7 @@
     lastReport_ = load;
     lastReport_->slowness = std::clamp(load.slowness, minSlowness, maxSlowness);
     loadReportedAt_ = now;
+    queueClearAt_ = leastLatency_ ? now + reportedQueueTime(1, *leastLatency_) : TimePoint {};
 }
 
 void UpstreamHealth::connectFailed(bool refused, TimePoint now)
@@ -187,9 +208,9 @@
 {
     if (!lastReport_ || !leastLatency_ || reportAge(now) > maxQueueReportAge)
         return std::nullopt;
-    const auto work = std::max(Duration::zero(), *leastLatency_ - networkDelay);
-    const auto concurrent = std::max({ 1U, slots, lastReport_->slots, lastReport_->running });
-    return scaled(work, certainQueueShare * lastReport_->waiting / concurrent);
+    if (!queueReportsConfirmed_ || queueReportsDisproved_)
+        return std::nullopt;
+    return reportedQueueTime(slots, std::max(Duration::zero(), *leastLatency_ - networkDelay));
 }
 
 std::optional<Duration> UpstreamHealth::timeSinceResponse(TimePoint now) const
