Refuse requests that cannot get memory before their deadline

Cause: a request whose body waits for memory got 408 at the header time-out, also when its deadline had passed long before, and without a time to return.

Change: such a request is refused with 503 and Retry-After at its deadline, or as soon as the expected wait exceeds the time left. The expected wait is what it and older waiting requests lack, divided by the highest rate at which memory was given back in one of the last five seconds; unknown waits are no reason to refuse.

--- a/libs/gateway/src/caller_connection.cpp
+++ b/libs/gateway/src/caller_connection.cpp
@@ -97,8 +97,10 @@
     if (needed <= memory_.held())
         return true;
     // A body that is larger than the account is received while nothing else is.
-    if (!memory_.tryHold(std::min(needed, memory_.maxBytes()), now))
+    if (!memory_.tryHold(std::min(needed, memory_.maxBytes()), now)) {
+        missingBytes_ = needed - memory_.held();
         return false;
+    }
     memory_.hold(needed);
     if (reader_.isHeaderDone())
         reader_.body().reserve(needed - readBuffer_.size() - 2 * reader_.request().memoryBytes());
@@ -113,10 +115,19 @@
     memory_.hold(held);
 }
 
-void CallerConnection::resume(TimePoint now)
+void CallerConnection::resume(std::size_t bytesAhead, TimePoint now)
 {
-    if (closed_ || !waitingForMemory_ || !reserveMemory(now))
+    if (closed_ || !waitingForMemory_)
         return;
+    if (!reserveMemory(now)) {
+        if (!reader_.isHeaderDone() || !hooks_.refusal)
+            return;
+        const auto response = hooks_.refusal(reader_.request(), bytesAhead + missingBytes_, phaseStartedAt_);
+        if (!response)
+            return;
+        awaitingResponse_ = true;
+        return respond(*response, true);
+    }
     waitingForMemory_ = false;
     memory_.waitForPeer(now);
     read();
--- a/libs/gateway/src/caller_connection.h
+++ b/libs/gateway/src/caller_connection.h
@@ -11,6 +11,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace banyancroft::gateway {
@@ -57,6 +58,13 @@
         MemoryAccount* memory = nullptr;
         /** Called when a body has to wait for memory. */
         std::function<void()> waiting;
+        /**
+         * Returns the response to a request that would wait too long for `bytes` of memory, its own and those
+         * of the requests before it; empty if it is to wait.
+         */
+        std::function<std::optional<http::Response>(
+            const http::RequestHead&, std::size_t bytes, TimePoint arrivedAt)>
+            refusal;
     };
 
     CallerConnection(boost::asio::ip::tcp::socket socket, http::ReadLimits limits, Hooks hooks);
@@ -77,8 +85,14 @@
      */
     void expire();
     void close();
-    /** Reads on if there is memory for the body that had to wait. */
-    void resume(TimePoint now);
+    /**
+     * Reads on if there is memory for the body that had to wait, or refuses a request that would wait too
+     * long.
+     * @param bytesAhead bytes that older requests wait for
+     */
+    void resume(std::size_t bytesAhead, TimePoint now);
+    /** Bytes that a waiting request lacks. */
+    std::size_t missingBytes() const { return waitingForMemory_ ? missingBytes_ : 0; }
     /** Starts the measurement of the caller's progress anew after a stall of the process. */
     void restartProgress(TimePoint now);
 
@@ -132,6 +146,7 @@
     bool closeAfterWrite_ = false;
     bool closed_ = false;
     bool waitingForMemory_ = false;
+    std::size_t missingBytes_ = 0;
     /** Start of the period in which the caller must take bytes of its response, and how many it took. */
     TimePoint progressSince_ {};
     std::size_t bytesTaken_ = 0;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -93,6 +93,10 @@
     {
         callerListener_.onSlowCaller([this] { traffic_.recordSlowCaller(); });
         callerListener_.onWaiting([this] { traffic_.recordMemoryWait("body of a request"); });
+        callerListener_.onRefusal(
+            [this](const http::RequestHead& head, std::size_t bytes, TimePoint arrivedAt) {
+                return traffic_.refusalOfWaiting(head, bytes, arrivedAt, BootClock::now());
+            });
         metrics_.gauge("banyancroft_gateway_config_version", "Version of the configuration in force",
             [this] { return static_cast<double>(traffic_.configuration().version().value); });
         metrics_.gauge("banyancroft_gateway_upstreams", "Replicas that are registered",
--- a/libs/gateway/src/http_listener.cpp
+++ b/libs/gateway/src/http_listener.cpp
@@ -110,6 +110,7 @@
         if (waiting_)
             waiting_();
     };
+    hooks.refusal = refusal_;
     auto connection = std::make_shared<CallerConnection>(std::move(socket), limits_, std::move(hooks));
     connections_.insert(connection);
     connection->start(BootClock::now());
@@ -185,8 +186,11 @@
         [](const auto& connection) { return connection->isWaitingForMemory(); });
     std::sort(waiting.begin(), waiting.end(),
         [](const auto& left, const auto& right) { return left->phaseStartedAt() < right->phaseStartedAt(); });
-    for (const auto& connection : waiting)
-        connection->resume(now);
+    std::size_t bytesAhead = 0;
+    for (const auto& connection : waiting) {
+        connection->resume(bytesAhead, now);
+        bytesAhead += connection->missingBytes();
+    }
 }
 
 std::size_t HttpListener::busyConnectionCount() const
--- a/libs/gateway/src/http_listener.h
+++ b/libs/gateway/src/http_listener.h
@@ -53,6 +53,8 @@
     std::size_t connectionCount() const { return connections_.size(); }
     /** Called when the body of a request has to wait for memory. */
     void onWaiting(std::function<void()> handler) { waiting_ = std::move(handler); }
+    /** Decides about requests that wait for memory; applies to connections accepted from now on. */
+    void onRefusal(decltype(CallerConnection::Hooks::refusal) handler) { refusal_ = std::move(handler); }
     /** Called when a connection is closed because its caller takes its response too slowly. */
     void onSlowCaller(std::function<void()> handler) { slowCaller_ = std::move(handler); }
     /** Number of connections with a request that is partly received or not yet answered. */
@@ -74,6 +76,7 @@
     CallerTimeouts timeouts_;
     TimePoint lastExpiryAt_ {};
     std::function<void()> waiting_;
+    decltype(CallerConnection::Hooks::refusal) refusal_;
     std::function<void()> slowCaller_;
     bool stopping_ = false;
     bool acceptingEnabled_ = false;
--- a/libs/gateway/src/memory_account.cpp
+++ b/libs/gateway/src/memory_account.cpp
@@ -1,5 +1,7 @@
 #include "memory_account.h"
 
+#include <algorithm>
+
 namespace banyancroft::gateway {
 
 namespace {
@@ -33,6 +35,38 @@
 {
     for (auto* holder : dependent_)
         holder->waitForPeer(now);
+    rates_.clear();
+    givenBack_ = 0;
+    windowStartedAt_ = now;
+}
+
+void MemoryAccount::measure(TimePoint now)
+{
+    const auto time = now - windowStartedAt_;
+    if (windowStartedAt_ != TimePoint {} && time < rateWindow)
+        return;
+    if (windowStartedAt_ != TimePoint {}) {
+        rates_.push_back(perSecond(givenBack_, time));
+        if (rates_.size() > measuredWindows)
+            rates_.pop_front();
+    }
+    windowStartedAt_ = now;
+    givenBack_ = 0;
+}
+
+std::optional<Duration> MemoryAccount::expectedWait(std::size_t bytes) const
+{
+    if (total_ + bytes <= limits_.bytes)
+        return Duration::zero();
+    if (rates_.size() < measuredWindows)
+        return std::nullopt;
+    constexpr Duration measuredTime = rateWindow * measuredWindows;
+    const auto missing = static_cast<double>(total_ + bytes - limits_.bytes);
+    const auto rate = *std::max_element(rates_.begin(), rates_.end());
+    // Beyond the measured time, nothing is known.
+    if (rate * std::chrono::duration<double>(measuredTime).count() <= missing)
+        return measuredTime;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(missing / rate));
 }
 
 bool MemoryAccount::makeRoom(
@@ -101,8 +135,10 @@
 
 void MemoryHolder::hold(std::size_t bytes)
 {
-    if (account_)
+    if (account_) {
         account_->total_ += bytes - held_;
+        account_->givenBack_ += held_ - std::min(bytes, held_);
+    }
     held_ = bytes;
 }
 
--- a/libs/gateway/src/memory_account.h
+++ b/libs/gateway/src/memory_account.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string_view>
@@ -53,6 +54,14 @@
     /** Starts the measurement of all rates anew: after a stall of the process, no peer could progress. */
     void restartRates(TimePoint now);
 
+    /** Measures how much memory is given back; call several times a second. */
+    void measure(TimePoint now);
+    /**
+     * Time until `bytes` more are likely to fit, at the highest rate at which memory was given back in one of
+     * the last windows; empty before enough windows were measured.
+     */
+    std::optional<Duration> expectedWait(std::size_t bytes) const;
+
     std::size_t total() const { return total_; }
     const Limits& limits() const { return limits_; }
 
@@ -60,6 +69,8 @@
     static constexpr Duration rateWindow = std::chrono::seconds(1);
     /** Bytes per second from which a peer counts as an ordinary one. */
     static constexpr double ordinaryRate = 64.0 * 1024;
+    /** Windows for expectedWait(); the highest rate of several avoids refusals after a short pause. */
+    static constexpr std::size_t measuredWindows = 5;
 
 private:
     friend class MemoryHolder;
@@ -69,6 +80,10 @@
 
     const Limits limits_;
     std::size_t total_ = 0;
+    /** Bytes given back since the start of the window, and the rates of the windows before. */
+    std::size_t givenBack_ = 0;
+    TimePoint windowStartedAt_ {};
+    std::deque<double> rates_;
     std::function<void(const EndedHolder&)> ended_;
     /** Holders that depend on the progress of their peer. */
     std::unordered_set<MemoryHolder*> dependent_;
--- a/libs/gateway/src/traffic_manager.cpp
+++ b/libs/gateway/src/traffic_manager.cpp
@@ -169,11 +169,34 @@
         { { "use", std::string(what) }, { "held_bytes", std::to_string(memory_.total()) } });
 }
 
-http::Response TrafficManager::refuseForMemory()
+http::Response TrafficManager::refuseForMemory(Duration wait)
 {
     metrics_.memoryRefused.add();
-    const auto wait = scaled(memoryRetryAfter, 1 + memoryRetrySpread * uniformRandom());
-    return unavailableResponse(dialect_.headers, wait);
+    const auto retryAfter = scaled(std::max(wait, memoryRetryAfter), 1 + memoryRetrySpread * uniformRandom());
+    return unavailableResponse(dialect_.headers, retryAfter);
+}
+
+std::optional<http::Response> TrafficManager::refusalOfWaiting(
+    const http::RequestHead& head, std::size_t bytes, TimePoint arrivedAt, TimePoint now)
+{
+    const auto routes = configuration_.current();
+    const auto* route = routes ? routes->match(head.fields.find("host").value_or(""), head.target) : nullptr;
+    if (!route)
+        return std::nullopt;
+    const auto text = head.fields.find(dialect_.headers.deadlineMillis);
+    const auto millis = text ? http::parseNumber(*text) : std::nullopt;
+    const auto deadline = millis ? statedDuration(*millis, std::chrono::milliseconds(1)) : route->timeout;
+    const auto remaining = arrivedAt + std::min(deadline, route->timeout) - now;
+    const auto wait = memory_.expectedWait(bytes);
+    if (remaining > Duration::zero() && wait.value_or(Duration::zero()) <= remaining)
+        return std::nullopt;
+    requestLog_.logOutcome(now, "request rejected",
+        { { "id", std::string(head.fields.find(dialect_.headers.requestId).value_or("")) },
+            { "target", head.target }, { "reason", "memory is short" },
+            { "status", std::to_string(statusUnavailable) },
+            { "expected_wait_ms", wait ? std::to_string(toMillis(*wait)) : "unknown" },
+            { "remaining_ms", std::to_string(toMillis(remaining)) } });
+    return refuseForMemory(wait.value_or(Duration::zero()));
 }
 
 void TrafficManager::recordSlowCaller()
@@ -418,6 +441,7 @@
 {
     registry_.applyDeferredRemovals(now);
     updateReach(now);
+    memory_.measure(now);
     for (auto& [number, connectionPool] : pools_)
         connectionPool->expire(now);
     for (auto& [number, connectionPool] : pools_)
--- a/libs/gateway/src/traffic_manager.h
+++ b/libs/gateway/src/traffic_manager.h
@@ -110,8 +110,17 @@
     void recordMemoryWait(std::string_view what);
     /** Records that a connection was closed because its caller took its response too slowly. */
     void recordSlowCaller();
-    /** Counts a request that is refused because memory is short. @return its response, with 503 */
-    http::Response refuseForMemory();
+    /**
+     * Counts a request that is refused because memory is short.
+     * @param wait expected time until there is memory  @return its response, with 503
+     */
+    http::Response refuseForMemory(Duration wait = Duration::zero());
+    /**
+     * Decides about a request that has not run and waits for `bytes` of memory.
+     * @return the refusal of a request that cannot get them before its deadline; empty if it is to wait
+     */
+    std::optional<http::Response> refusalOfWaiting(
+        const http::RequestHead& head, std::size_t bytes, TimePoint arrivedAt, TimePoint now);
     boost::asio::io_context& ioContext() { return ioContext_; }
 
     UpstreamPool& pool(const upstreams::UpstreamPointer& upstream);
--- a/libs/gateway/tests/test_hostile_peers.cpp
+++ b/libs/gateway/tests/test_hostile_peers.cpp
@@ -244,6 +244,37 @@
     }
 }
 
+// Guards against a request that waits for memory beyond its deadline and ends without a time to return: it
+// has not run, so it is refused with 503.
+BOOST_AUTO_TEST_CASE(requestThatWaitsForMemoryIsRefusedAtItsDeadline)
+{
+    constexpr std::size_t bodyBytes = std::size_t { 200 } * 1024;
+    const auto upload = [](const std::string& id, int deadlineMillis) {
+        return "POST /credit/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id
+            + "\r\nDeadline: " + std::to_string(deadlineMillis)
+            + "\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+    };
+    GatewayFixture fixture;
+    // Room for one of the bodies, but not for two.
+    fixture.settings.memoryBytes = std::size_t { 1024 } * 1024;
+    auto& replica = fixture.replica(
+        "ledger", "r1", [](const http::RequestHead&, const std::string&) { return FakeResponse { "" }; });
+    fixture.configure(configurationOf({ singleRoute(false) }));
+    const auto response = fixture.runCaller<CallerResponse>([&] {
+        fixture.waitUntilReady();
+        Caller first(fixture.settings.callers.port);
+        first.write(upload("id-1", 5000) + std::string(bodyBytes, 'x'));
+        while (replica.receivedRequests() == 0)
+            std::this_thread::sleep_for(10ms);
+        Caller second(fixture.settings.callers.port);
+        second.write(upload("id-2", 500));
+        return second.read();
+    });
+    BOOST_TEST(response.status == 503U);
+    BOOST_TEST(response.fields.contains("Retry-After"));
+    BOOST_TEST(replica.receivedRequests() == 1);
+}
+
 // An unexpected error of a handler ends that handler, not the process.
 BOOST_AUTO_TEST_CASE(unexpectedErrorsDoNotEndTheProcess)
 {
--- a/libs/gateway/tests/test_memory_account.cpp
+++ b/libs/gateway/tests/test_memory_account.cpp
@@ -121,3 +121,32 @@
     other.hold(0);
     BOOST_TEST(large.tryHoldRequest(MemoryHolder::ordinaryRequestBytes + 1, now));
 }
+
+// Guards against an expected wait that is taken from too little, so that requests are refused that would be
+// served.
+BOOST_AUTO_TEST_CASE(expectedWaitFollowsTheBestRate)
+{
+    MemoryAccount account(limits);
+    TimePoint now { 100s };
+    const auto ignoreEnd = [] {};
+    MemoryHolder holder(&account, MemoryUse::Parts, ignoreEnd);
+    account.measure(now);
+    holder.hold(limits.bytes);
+    for (std::size_t window = 0; window < MemoryAccount::measuredWindows; ++window) {
+        BOOST_TEST(!account.expectedWait(kibibyte).has_value());
+        const std::size_t bytes = window == 1 ? 64 * kibibyte : 0;
+        holder.hold(limits.bytes - bytes);
+        holder.hold(limits.bytes);
+        now += MemoryAccount::rateWindow;
+        account.measure(now);
+    }
+    BOOST_REQUIRE(account.expectedWait(32 * kibibyte).has_value());
+    BOOST_TEST((*account.expectedWait(32 * kibibyte) == 500ms));
+    // Nothing is known beyond the time that was measured.
+    BOOST_TEST((*account.expectedWait(1024 * kibibyte) == 5s));
+    holder.hold(0);
+    BOOST_TEST((*account.expectedWait(32 * kibibyte) == 0s));
+    account.restartRates(now);
+    holder.hold(limits.bytes);
+    BOOST_TEST(!account.expectedWait(kibibyte).has_value());
+}
