Share the play of both properties of fleet limits

Cause: the two properties repeated the play, the bound and the check of the windows.

Change: playAndCheckWindows() serves both; each property has its own function that draws an event. The order of the draws is the same.

--- a/libs/quota/tests/test_fleet_limit.cpp
+++ b/libs/quota/tests/test_fleet_limit.cpp
@@ -232,44 +232,74 @@
     }
 };
 
-} // namespace
+/** Draws an event and applies it to the fleet. */
+using Event = void (*)(Fleet&);
 
-/**
- * A customer asks without end at all VMs while these restart, lose the store and are cut off from each other,
- * and while each learns of changes up to the view skew later than the store. Guards against more requests in
- * any window than the limit and its tolerance permit.
- */
-RC_BOOST_PROP(limitHoldsInEveryWindowWhileTheFleetChanges, ())
+/** Plays a minute with random delays of the views and an event every `minPause` to 12 s, and checks each
+ * window. */
+void playAndCheckWindows(Fleet& fleet, Event event, int minPauseMs)
 {
-    Fleet fleet;
     for (const auto& vm : fleet.vms)
         vm->viewDelay = std::chrono::milliseconds(*rc::gen::inRange(0, 2000));
     const auto end = start + 60s;
     auto nextEvent = start + 10s;
     while (fleet.now < end) {
         if (fleet.now >= nextEvent) {
-            const auto kind = *rc::gen::inRange(0, 4);
-            const auto vm = *rc::gen::inRange(0, vmCount);
-            const auto length = std::chrono::milliseconds(*rc::gen::inRange(100, 8000));
-            if (kind == 0)
-                fleet.restart(vm, length);
-            // The users' platform bears the loss of one availability zone, so most VMs stay in contact with
-            // the store.
-            if (kind == 1 && std::count(fleet.side.begin(), fleet.side.end(), 1) < vmCount / 2)
-                fleet.side[vm] = 1 - fleet.side[vm];
-            if (kind == 2)
-                fleet.side.fill(0);
-            if (kind == 3 && *rc::gen::inRange(0, 4) == 0) {
-                for (int i = 0; i < vmCount; ++i)
-                    fleet.restart(i, 600ms);
-            }
-            nextEvent = fleet.now + std::chrono::milliseconds(*rc::gen::inRange(2000, 12000));
+            event(fleet);
+            nextEvent = fleet.now + std::chrono::milliseconds(*rc::gen::inRange(minPauseMs, 12000));
         }
         fleet.runStep();
     }
     const auto allowed = limit.perSecond * 5 + limit.burst + tolerance(limit, bounds);
     RC_LOG("worst window: " + std::to_string(fleet.worstWindow()));
     RC_ASSERT(static_cast<double>(fleet.worstWindow()) <= allowed);
+}
+
+void restartOrCut(Fleet& fleet)
+{
+    const auto kind = *rc::gen::inRange(0, 4);
+    const auto vm = *rc::gen::inRange(0, vmCount);
+    const auto length = std::chrono::milliseconds(*rc::gen::inRange(100, 8000));
+    if (kind == 0)
+        fleet.restart(vm, length);
+    // The users' platform bears the loss of one availability zone, so most VMs stay in contact with the
+    // store.
+    if (kind == 1 && std::count(fleet.side.begin(), fleet.side.end(), 1) < vmCount / 2)
+        fleet.side[vm] = 1 - fleet.side[vm];
+    if (kind == 2)
+        fleet.side.fill(0);
+    if (kind == 3 && *rc::gen::inRange(0, 4) == 0) {
+        for (int i = 0; i < vmCount; ++i)
+            fleet.restart(i, 600ms);
+    }
+}
+
+void restartOrCutOrStoreOutage(Fleet& fleet)
+{
+    const auto kind = *rc::gen::inRange(0, 4);
+    const auto vm = *rc::gen::inRange(0, vmCount);
+    const auto length = std::chrono::milliseconds(*rc::gen::inRange(2000, 12000));
+    if (kind == 0)
+        fleet.restart(vm, length);
+    if (kind == 1)
+        fleet.side[vm] = std::count(fleet.side.begin(), fleet.side.end(), 1) < vmCount / 2 ? 1 : 0;
+    if (kind == 2)
+        fleet.side.fill(0);
+    if (kind == 3)
+        fleet.storeAwayUntil = fleet.now + length;
+}
+
+} // namespace
+
+/**
+ * A customer asks without end at all VMs while these restart, lose the store and are cut off from each other,
+ * and while each learns of changes up to the view skew later than the store. Guards against more requests in
+ * any window than the limit and its tolerance permit.
+ */
+RC_BOOST_PROP(limitHoldsInEveryWindowWhileTheFleetChanges, ())
+{
+    Fleet fleet;
+    playAndCheckWindows(fleet, restartOrCut, 2000);
     // Most of the limit is used, or the check would be void.
     RC_ASSERT(fleet.granted.size() > 60 * limit.perSecond / 3);
 }
@@ -281,30 +311,7 @@
 RC_BOOST_PROP(limitHoldsInEveryWindowAroundOutagesOfTheStore, ())
 {
     Fleet fleet;
-    for (const auto& vm : fleet.vms)
-        vm->viewDelay = std::chrono::milliseconds(*rc::gen::inRange(0, 2000));
-    const auto end = start + 60s;
-    auto nextEvent = start + 10s;
-    while (fleet.now < end) {
-        if (fleet.now >= nextEvent) {
-            const auto kind = *rc::gen::inRange(0, 4);
-            const auto vm = *rc::gen::inRange(0, vmCount);
-            const auto length = std::chrono::milliseconds(*rc::gen::inRange(2000, 12000));
-            if (kind == 0)
-                fleet.restart(vm, length);
-            if (kind == 1)
-                fleet.side[vm] = std::count(fleet.side.begin(), fleet.side.end(), 1) < vmCount / 2 ? 1 : 0;
-            if (kind == 2)
-                fleet.side.fill(0);
-            if (kind == 3)
-                fleet.storeAwayUntil = fleet.now + length;
-            nextEvent = fleet.now + std::chrono::milliseconds(*rc::gen::inRange(1000, 12000));
-        }
-        fleet.runStep();
-    }
-    const auto allowed = limit.perSecond * 5 + limit.burst + tolerance(limit, bounds);
-    RC_LOG("worst window: " + std::to_string(fleet.worstWindow()));
-    RC_ASSERT(static_cast<double>(fleet.worstWindow()) <= allowed);
+    playAndCheckWindows(fleet, restartOrCutOrStoreOutage, 1000);
 }
 
 // Guards against callers within their limit that are refused after an outage of the store in which all
