Remove a function of the fallback credit that nobody calls

Cause: FallbackCredit::giveBack() had no caller; credit is given back to the holder.

Change: it is removed.

Result: quota_test_rate_limits, quota_test_fleet_limit and gateway_test_customer_limits pass.

--- a/libs/quota/include/quota/fallback_credit.h
+++ b/libs/quota/include/quota/fallback_credit.h
@@ -28,7 +28,6 @@
     /** @param vms the VMs that share the limit; a VM that is not among them has no share */
     CreditResult take(const CustomerId& customer, const RateLimit& limit, const std::set<VmId>& vms,
         const VmId& self, TimePoint now);
-    void giveBack(const CustomerId& customer);
     void removeUnused(TimePoint now);
 
 private:
--- a/libs/quota/src/fallback_credit.cpp
+++ b/libs/quota/src/fallback_credit.cpp
@@ -45,13 +45,6 @@
         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(seconds, 1.0))) };
 }
 
-void FallbackCredit::giveBack(const CustomerId& customer)
-{
-    const auto found = accounts_.find(customer);
-    if (found != accounts_.end())
-        found->second.bucket.giveBack();
-}
-
 void FallbackCredit::removeUnused(TimePoint now)
 {
     std::erase_if(accounts_, [now](const auto& entry) { return now - entry.second.usedAt >= idleTime; });
