--- a/review/standin-2/replica.cpp
+++ b/review/standin-2/replica.cpp
@@ -13,6 +13,7 @@
         .count();
 }
 
+constexpr unsigned queueLength = 4;
 constexpr auto idleTimeout = std::chrono::seconds(60);
 
 } // namespace
@@ -36,11 +37,20 @@
         { "warmupLeftMs", warmupLeftMs }, { "seq", seq_ }, { "born", born_ } };
 }
 
-void Replica::startAgain(Milliseconds cold)
+void Replica::crash()
 {
     const std::lock_guard lock(mutex_);
+    isDown_ = true;
     for (const auto& connection : connections_)
         connection->reset();
+    atWork_.clear();
+    record_.line("replica " + options_.id + ": crashes");
+}
+
+void Replica::startAgain(Milliseconds cold)
+{
+    const std::lock_guard lock(mutex_);
+    isDown_ = false;
     born_ = unixMilliseconds();
     seq_ = 1;
     warmAt_ = Clock::now() + cold;
@@ -73,10 +83,24 @@
     return brokenOff_;
 }
 
+bool Replica::takeSlot()
+{
+    std::unique_lock lock(mutex_);
+    if (waiting_ >= queueLength)
+        return false;
+    ++waiting_;
+    slotFreed_.wait(lock, [this] { return running_ < options_.slots; });
+    --waiting_;
+    ++running_;
+    return true;
+}
+
 void Replica::serve(const std::shared_ptr<Connection>& connection)
 {
     {
         const std::lock_guard lock(mutex_);
+        if (isDown_)
+            return connection->reset();
         connections_.insert(connection);
     }
     while (const auto request = connection->read(idleTimeout)) {
@@ -93,13 +117,17 @@
         } else if (attempt.empty()) {
             answer = response(400, { { "X-Not-Executed", "1" } }, "");
         } else {
-            const bool isRun = expected.empty() || expected == options_.id;
+            const bool isExpected = expected.empty() || expected == options_.id;
+            const bool isRun = isExpected && takeSlot();
             const Arrival arrival { seconds(), options_.id, request->startLine, attempt, request->body.size(),
                 isRun };
             {
                 const std::lock_guard lock(mutex_);
-                if (hasExited_)
+                if (hasExited_ || isDown_) {
+                    running_ -= isRun ? 1 : 0;
+                    slotFreed_.notify_one();
                     break;
+                }
                 arrivals_.push_back(arrival);
                 if (isRun)
                     atWork_[attempt] = arrival.at;
@@ -112,11 +140,14 @@
                     { { "X-Attempt-Id", attempt }, { "X-Response-Stamp", options_.id + "." + attempt } },
                     std::string(options_.answerSize, 'a'));
                 const std::lock_guard lock(mutex_);
-                if (hasExited_)
+                --running_;
+                slotFreed_.notify_one();
+                if (hasExited_ || isDown_)
                     break;
                 atWork_.erase(attempt);
             } else {
-                answer = response(421, { { "X-Attempt-Id", attempt }, { "X-Not-Executed", "1" } }, "");
+                answer = response(
+                    isExpected ? 503 : 421, { { "X-Attempt-Id", attempt }, { "X-Not-Executed", "1" } }, "");
             }
         }
         if (!connection->write(answer))
--- a/review/standin-2/replica.h
+++ b/review/standin-2/replica.h
@@ -4,6 +4,7 @@
 #include "record.h"
 
 #include <atomic>
+#include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -14,7 +15,7 @@
 
 namespace banyancroft::review2 {
 
-/** A request that a replica ran, or, with `isRun` false, refused with 421. */
+/** A request that a replica ran, or, with `isRun` false, refused with 421 or 503. */
 struct Arrival {
     double at = 0;
     std::string replica;
@@ -46,7 +47,9 @@
     const std::string& id() const { return options_.id; }
     /** What the replica says of itself in the store. */
     nlohmann::json entry(unsigned warmupLeftMs) const;
-    /** Starts a new run under the same id, cold for a time. The connections of the run before are reset. */
+    /** Crashes: connections are reset, new ones too. */
+    void crash();
+    /** Starts a new run under the same id, cold for a time. */
     void startAgain(Milliseconds cold);
     /** Exits: stops listening and breaks all connections off. */
     void exit();
@@ -56,15 +59,21 @@
 
 private:
     void serve(const std::shared_ptr<Connection>& connection);
+    /** Waits for a slot. @return false if the queue is full */
+    bool takeSlot();
 
     Options options_;
     Record& record_;
     mutable std::mutex mutex_;
+    std::condition_variable slotFreed_;
+    unsigned running_ = 0;
+    unsigned waiting_ = 0;
     std::vector<Arrival> arrivals_;
     std::set<std::shared_ptr<Connection>> connections_;
     std::map<std::string, double> atWork_;
     std::vector<std::string> brokenOff_;
     std::atomic<bool> hasExited_ = false;
+    bool isDown_ = false;
     std::int64_t born_ = 0;
     Time warmAt_ {};
     unsigned seq_ = 1;
