--- a/review/standin-2/store.cpp
+++ b/review/standin-2/store.cpp
@@ -111,19 +111,6 @@
     record_.line(format("store: %s VM %zu", refused ? "refuses" : "serves", vm));
 }
 
-void Store::endLease(const std::string& key)
-{
-    const std::lock_guard lock(mutex_);
-    const auto found = items_.find(key);
-    if (found == items_.end())
-        return;
-    const auto lease = found->second.lease;
-    if (lease != 0) {
-        leases_[lease].end = Clock::now();
-        expire();
-    }
-}
-
 std::size_t Store::idleConnections(std::size_t vm) const
 {
     const std::lock_guard lock(mutex_);
--- a/review/standin-2/store.h
+++ b/review/standin-2/store.h
@@ -32,8 +32,6 @@
 
     /** Refuses all calls of a VM with 503, or serves it again. Its open connections are reset. */
     void refuse(std::size_t vm, bool refused);
-    /** Ends the lease of the key, as the store does while the VM cannot renew it. */
-    void endLease(const std::string& key);
 
     /** Connections of a VM on which the store has answered and waits for the next call. */
     std::size_t idleConnections(std::size_t vm) const;
