--- a/review/6/case-2.cpp
+++ b/review/6/case-2.cpp
@@ -78,7 +78,7 @@
             if (!connection)
                 connection = Connection::open(front, Milliseconds(1000));
             const auto sent = seconds();
-            const auto request = isPost ? clientRequest("POST", "/work/x", attempt, 3000, "an order")
+            const auto request = isPost ? clientRequest("POST", "/order/x", attempt, 3000, "an order")
                                         : clientRequest("GET", "/read/x", attempt, 3000);
             std::optional<Message> answer;
             {
@@ -173,7 +173,7 @@
         store.put("servers/" + options.id, replicas.back()->entry(0));
     }
     const auto document = configuration(
-        7, { { "work", "orders", false, 4000, 1 }, { "read", "orders", true, 4000, 2 } }, { { "orders" } });
+        7, { { "order", "orders", false, 4000, 1 }, { "read", "orders", true, 4000, 2 } }, { { "orders" } });
     store.put("op/config", document);
     Fleet fleet(folder.path(), stores);
     if (!fleet.waitUntilReady(Milliseconds(20'000)))
